--- a/admin/checkDependencies.js
+++ b/admin/checkDependencies.js
@@ -2,9 +2,10 @@
 // so an undeclared import works here and fails only where a package is installed alone.
 import { readdirSync, readFileSync } from "node:fs";
 import { isBuiltin } from "node:module";
-import { join } from "node:path";
+import { basename, join } from "node:path";
 
 const packagesFolder = join(import.meta.dirname, "../packages");
+const platformFolder = join(import.meta.dirname, "../platform");
 const importPattern = /^(?:import|export)\b[^;"]*?\bfrom "([^"./][^"]*)"|\bimport\("([^"./][^"]*)"\)/gm;
 
 const nameOf = (specifier) => specifier.split("/").slice(0, specifier.startsWith("@") ? 2 : 1).join("/");
@@ -13,8 +14,8 @@
     .filter((file) => file.endsWith(".ts") && !file.includes("__tests__"))
     .map((file) => join(folder, file));
 
-const findUndeclared = (name) => {
-    const folder = join(packagesFolder, name);
+const findUndeclared = (folder) => {
+    const name = basename(folder);
     const { dependencies = {} } = JSON.parse(readFileSync(join(folder, "package.json"), "utf8"));
     const imported = listSources(join(folder, "src")).flatMap((file) =>
         [...readFileSync(file, "utf8").matchAll(importPattern)]
@@ -23,8 +24,9 @@
         .filter((wanted) => !isBuiltin(wanted) && !(wanted in dependencies) && wanted !== name);
 };
 
-const problems = readdirSync(packagesFolder).flatMap((name) =>
-    findUndeclared(name).map((wanted) => `${name} imports ${wanted}; add it to packages/${name}/package.json`));
+const folders = [...readdirSync(packagesFolder).map((name) => join(packagesFolder, name)), platformFolder];
+const problems = folders.flatMap((folder) =>
+    findUndeclared(folder).map((wanted) => `${basename(folder)} imports ${wanted}; add it to its package.json`));
 for (const problem of problems) {
     process.stderr.write(`${problem}\n`);
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,7 @@
 export default tseslint.config(
     { ignores: ["**/lib/**", "**/node_modules/**"] },
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         extends: [eslint.configs.recommended, ...tseslint.configs.recommendedTypeChecked],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         plugins: { jsdoc },
@@ -39,7 +39,7 @@
         },
     },
     {
-        files: ["packages/**/src/**/*.ts"],
+        files: ["packages/**/src/**/*.ts", "platform/src/**/*.ts"],
         ignores: ["**/__tests__/**"],
         rules: {
             "max-lines-per-function": ["error", { max: 120, skipBlankLines: true, skipComments: true }],
--- a/packages/oleandergap-configuration/src/store/partnerStore.ts
+++ b/packages/oleandergap-configuration/src/store/partnerStore.ts
@@ -1,7 +1,7 @@
 /** The version of one partner that is in force at a node, and the rules by which another takes its place. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Delta, Head, PartnerDocument, PartnerName, PartnerTable, Sequence } from "oleandergap-types";
+import type { Delta, Head, PartnerDocument, PartnerName, PartnerTable, Route, Sequence, ZoneName } from "oleandergap-types";
 import { getNextTable, getTable } from "../table/knownTables.js";
 import type { TableProblem } from "../table/tableProblem.js";
 import { applyDeltas } from "../version/delta.js";
@@ -50,7 +50,13 @@
 
 const createEmptyVersion = (partner: PartnerName): Version => {
     const document = createEmptyDocument(partner);
-    return { document, table: { head: getDocumentHead(document), services: new Map(), zones: new Set() } };
+    const table: PartnerTable = {
+        head: getDocumentHead(document),
+        services: new Map(),
+        zones: new Set<ZoneName>(),
+        routes: new Map<string, Route>(),
+    };
+    return { document, table };
 };
 
 /** The next version by a run of deltas, built off to the side. */
--- a/packages/oleandergap-configuration/src/table/parseTable.ts
+++ b/packages/oleandergap-configuration/src/table/parseTable.ts
@@ -8,12 +8,14 @@
     Limit,
     PartnerDocument,
     PartnerTable,
+    Route,
     ServiceRow,
     ZoneName,
 } from "oleandergap-types";
-import { LIMITS_SHEET, SERVICES_SHEET, splitRowKey, ZONES_SHEET } from "../version/cellAddress.js";
+import { LIMITS_SHEET, ROUTES_SHEET, SERVICES_SHEET, splitRowKey, ZONES_SHEET } from "../version/cellAddress.js";
 import { getDocumentHead, getRowIndex } from "../version/document.js";
 import type { RowCells, RowIndex } from "../version/rowIndex.js";
+import { findDoubledRoutes, parseRoute } from "./routes.js";
 import { parseLimitRow, parseServiceRow, parseZoneRow, type RowResult } from "./rows.js";
 import type { TableProblem } from "./tableProblem.js";
 
@@ -29,11 +31,17 @@
     readonly services: readonly RawRow[];
     readonly limits: readonly RawRow[];
     readonly zones: readonly RawRow[];
+    readonly routes: readonly RawRow[];
     readonly problems: readonly TableProblem[];
 }
 
 const collectSheets = ({ rows, rowKeys }: RowIndex): Sheets => {
-    const sheets: Record<string, RawRow[]> = { [SERVICES_SHEET]: [], [LIMITS_SHEET]: [], [ZONES_SHEET]: [] };
+    const sheets: Record<string, RawRow[]> = {
+        [SERVICES_SHEET]: [],
+        [LIMITS_SHEET]: [],
+        [ZONES_SHEET]: [],
+        [ROUTES_SHEET]: [],
+    };
     const problems: TableProblem[] = [];
     for (const row of rowKeys) {
         const { sheet, name } = splitRowKey(row);
@@ -49,6 +57,7 @@
         services: sheets[SERVICES_SHEET] ?? [],
         limits: sheets[LIMITS_SHEET] ?? [],
         zones: sheets[ZONES_SHEET] ?? [],
+        routes: sheets[ROUTES_SHEET] ?? [],
         problems,
     };
 };
@@ -96,8 +105,23 @@
     const references = { findLimit: (name: string) => limits.rows.get(name), zones: new Set(zones.rows.keys()) };
     const services = parseRows<ServiceRow>(sheets.services, (name, cells) =>
         parseServiceRow(name, cells, references));
-    const problems = [...sheets.problems, ...zones.problems, ...limits.problems, ...services.problems];
+    const serviceNames = new Set(sheets.services.map((row) => row.name));
+    const routes = parseRows<Route>(sheets.routes, (name, cells) =>
+        parseRoute(name, cells, (service) => serviceNames.has(service)));
+    const problems = [
+        ...sheets.problems,
+        ...zones.problems,
+        ...limits.problems,
+        ...services.problems,
+        ...routes.problems,
+        ...findDoubledRoutes(routes.rows),
+    ];
     return problems.length > 0 ?
         either.left(problems) :
-        either.right({ head: getDocumentHead(document), services: services.rows, zones: references.zones });
+        either.right({
+            head: getDocumentHead(document),
+            services: services.rows,
+            zones: references.zones,
+            routes: routes.rows,
+        });
 };
--- a/packages/oleandergap-configuration/src/table/reparseTable.ts
+++ b/packages/oleandergap-configuration/src/table/reparseTable.ts
@@ -95,7 +95,9 @@
     const index = getRowIndex(document);
     const names = groupNames(changed);
     const isLarge = changed.length > MAX_CHANGED_SHARE * index.rows.size;
-    if (isLarge || names.hasOthers || checkSize(index).length > 0) {
+    // A route may name a service that has just gone; routes are few, so they are then checked from the start.
+    const mayOpenRoutes = names.services.size > 0 && previous.routes.size > 0;
+    if (isLarge || names.hasOthers || mayOpenRoutes || checkSize(index).length > 0) {
         return parseTable(document);
     }
     const readLimit = createLimitReader(index);
@@ -115,5 +117,5 @@
     const problems = [...[...names.limits].map(readLimit).flatMap(getProblems), ...getProblems(services)];
     return either.isLeft(services) || problems.length > 0 ?
         either.left(problems) :
-        either.right({ head: getDocumentHead(document), services: services.right, zones: previous.zones });
+        either.right({ ...previous, head: getDocumentHead(document), services: services.right });
 };
--- a/packages/oleandergap-configuration/src/table/rows.ts
+++ b/packages/oleandergap-configuration/src/table/rows.ts
@@ -5,11 +5,13 @@
     idempotencyRuleSchema,
     limitSchema,
     MAX_WEIGHT,
+    placementSchema,
     serviceNameSchema,
     type CellAddress,
     type CellValue,
     type IdempotencyRule,
     type Limit,
+    type Placement,
     type ServiceName,
     type ServiceRow,
     type ZoneName,
@@ -22,6 +24,7 @@
 /** The only value of a zone's cell; a zone is removed by emptying it. */
 const ZONE_ENABLED = 1;
 const DEFAULT_IDEMPOTENCY: IdempotencyRule = "optional";
+const DEFAULT_PLACEMENT: Placement = "weights";
 const WEIGHTS_COLUMN = "weights/";
 
 /** The other rows that a service row refers to. */
@@ -33,15 +36,19 @@
 /** A checked row, or all that is wrong with it. */
 export type RowResult<Row> = Either<readonly TableProblem[], Row>;
 
-const formatIssue = (error: z.ZodError): string => error.issues[0]?.message ?? "wrong value";
+/** What a schema allows, as its first message says. */
+export const formatIssue = (error: z.ZodError): string => error.issues[0]?.message ?? "wrong value";
 
-const badValue = (cell: CellAddress, found: CellValue, allowed: string): TableProblem =>
+/** A cell whose value is not allowed. */
+export const badValue = (cell: CellAddress, found: CellValue, allowed: string): TableProblem =>
     ({ kind: "BadValue", cell, found, allowed });
 
-const toResult = <Row>(problems: readonly TableProblem[], build: () => Row): RowResult<Row> =>
+/** The row, unless there are problems. */
+export const toResult = <Row>(problems: readonly TableProblem[], build: () => Row): RowResult<Row> =>
     problems.length > 0 ? either.left(problems) : either.right(build());
 
-const checkName = (row: string, name: string): readonly TableProblem[] => {
+/** Empty when `name` may be the name of a row; `row` is its address. */
+export const checkName = (row: string, name: string): readonly TableProblem[] => {
     const result = serviceNameSchema.safeParse(name);
     return result.success ? [] : [{ kind: "BadName", cell: row, name, allowed: formatIssue(result.error) }];
 };
@@ -83,7 +90,8 @@
         limitSchema.parse(Object.fromEntries(limitColumns.map((column) => [column, cells.get(`${prefix}${column}`)]))));
 };
 
-const isWeight = (value: CellValue): value is number =>
+/** Whether a cell holds a weight; 0 is one. */
+export const isWeight = (value: CellValue): value is number =>
     typeof value === "number" && Number.isInteger(value) && value >= 0 && value <= MAX_WEIGHT;
 
 /** Collects a service row cell by cell. */
@@ -92,6 +100,7 @@
     limitName: string | undefined;
     limit: Limit | undefined;
     idempotency: IdempotencyRule;
+    placement: Placement;
     readonly problems: TableProblem[];
 }
 
@@ -139,6 +148,15 @@
     draft.problems.push(badValue(cell, value, idempotencyRuleSchema.options.join(" or ")));
 };
 
+const readPlacement = (draft: ServiceRowDraft, cell: CellAddress, value: CellValue): void => {
+    const result = placementSchema.safeParse(value);
+    if (result.success) {
+        draft.placement = result.data;
+        return;
+    }
+    draft.problems.push(badValue(cell, value, placementSchema.options.join(" or ")));
+};
+
 const readServiceCell = (
     draft: ServiceRowDraft,
     cell: CellAddress,
@@ -157,6 +175,9 @@
         case "idempotency":
             readIdempotency(draft, cell, value);
             return;
+        case "placement":
+            readPlacement(draft, cell, value);
+            return;
         default:
             draft.problems.push({ kind: "UnknownCell", cell });
     }
@@ -174,17 +195,18 @@
         limitName: undefined,
         limit: undefined,
         idempotency: DEFAULT_IDEMPOTENCY,
+        placement: DEFAULT_PLACEMENT,
         problems: [...checkName(`${SERVICES_SHEET}/${service}`, service)],
     };
     for (const [cell, value] of cells) {
         readServiceCell(draft, cell, cell.slice(prefix.length), value, references);
     }
-    const { weights, limitName, limit, idempotency, problems } = draft;
+    const { weights, limitName, limit, idempotency, placement, problems } = draft;
     if (!cells.has(`${prefix}limit`)) {
         problems.push({ kind: "MissingCell", cell: `${prefix}limit` });
     }
     if (limitName === undefined || limit === undefined || problems.length > 0) {
         return either.left(problems);
     }
-    return either.right({ service, weights, limitName, limit, idempotency });
+    return either.right({ service, weights, limitName, limit, idempotency, placement });
 };
--- a/packages/oleandergap-configuration/src/table/tableProblem.ts
+++ b/packages/oleandergap-configuration/src/table/tableProblem.ts
@@ -1,5 +1,5 @@
 /** What is wrong with a table, told by the cell to mend. */
-import type { CellAddress, CellValue, ZoneName } from "oleandergap-types";
+import type { CellAddress, CellValue, ServiceName, ZoneName } from "oleandergap-types";
 
 /** One thing to mend; an operator is shown all problems of a table at once. */
 export type TableProblem =
@@ -19,11 +19,19 @@
     | { readonly kind: "UnknownLimit"; readonly cell: CellAddress; readonly limit: string }
     /** The cell weights an availability zone that this version does not hold. */
     | { readonly kind: "UnknownZone"; readonly cell: CellAddress; readonly zone: ZoneName }
+    /** The cell sends requests to a service that this version does not hold. */
+    | { readonly kind: "UnknownService"; readonly cell: CellAddress; readonly service: ServiceName }
+    /** The route sends its requests to no service; `cell` is the row's address. */
+    | { readonly kind: "NoService"; readonly cell: CellAddress }
+    /** Two routes have the same host and prefix; `cell` is the second one's address. */
+    | { readonly kind: "DoubledRoute"; readonly cell: CellAddress; readonly other: CellAddress }
     | { readonly kind: "TooManyCells"; readonly count: number; readonly maximum: number };
 
 const KNOWN_CELLS =
-    "services/SERVICE/limit, services/SERVICE/idempotency, services/SERVICE/weights/ZONE, limits/LIMIT/concurrency, " +
-    "limits/LIMIT/queue, limits/LIMIT/timeoutMs, limits/LIMIT/retryRatio and zones/ZONE/enabled";
+    "services/SERVICE/limit, services/SERVICE/idempotency, services/SERVICE/placement, services/SERVICE/weights/ZONE, " +
+    "limits/LIMIT/concurrency, limits/LIMIT/queue, limits/LIMIT/timeoutMs, limits/LIMIT/retryRatio, " +
+    "routes/ROUTE/host, routes/ROUTE/prefix, routes/ROUTE/kind, routes/ROUTE/maxAttempts, routes/ROUTE/timeoutMs, " +
+    "routes/ROUTE/targetLatencyMs, routes/ROUTE/priority, routes/ROUTE/services/SERVICE and zones/ZONE/enabled";
 
 /** A clause for people: the cell, what is wrong with it and what is allowed. */
 export const formatTableProblem = (problem: TableProblem): string => {
@@ -40,6 +48,12 @@
             return `${problem.cell} names the limit ${problem.limit}, which does not exist; set limits/${problem.limit} first`;
         case "UnknownZone":
             return `${problem.cell} weights the zone ${problem.zone}, which does not exist; set zones/${problem.zone}/enabled`;
+        case "UnknownService":
+            return `${problem.cell} names the service ${problem.service}, which does not exist; set services/${problem.service} first`;
+        case "NoService":
+            return `${problem.cell} has no service; set ${problem.cell}/services/SERVICE to a weight`;
+        case "DoubledRoute":
+            return `${problem.cell} has the host and prefix of ${problem.other}; change one of them`;
         case "TooManyCells":
             return `the table has ${problem.count} cells, and at most ${problem.maximum} are allowed`;
     }
--- a/packages/oleandergap-configuration/src/version/cellAddress.ts
+++ b/packages/oleandergap-configuration/src/version/cellAddress.ts
@@ -11,6 +11,9 @@
 /** First part of the addresses of zones. */
 export const ZONES_SHEET = "zones";
 
+/** First part of the addresses of routes. */
+export const ROUTES_SHEET = "routes";
+
 /** The row that a cell belongs to. */
 export const getRowKey = (cell: CellAddress): RowKey => {
     const end = cell.indexOf("/", cell.indexOf("/") + 1);
--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -8,6 +8,8 @@
     readonly partner: PartnerName;
     /** Service that the caller belongs to as far as it is known, else the requested service. */
     readonly service: ServiceName;
+    /** Rank among the requests of the target: waiting requests of a lower number start first. 0 when not given. */
+    readonly priority?: number;
     /** Time by which the answer must be complete, on the monotonic clock. */
     readonly deadline: Milliseconds;
     /** Aborts when the caller hangs up; a waiting request then leaves the queue at once. */
@@ -51,4 +53,9 @@
      * gives the same promise.
      */
     readonly drain: () => Promise<void>;
+    /**
+     * Refuses what still waits, because the target is about to go. Told at once, a waiting request has time to run
+     * elsewhere; left in the queue, it would reach a target that has announced its end long ago.
+     */
+    readonly refuseWaiting: () => void;
 }
--- a/packages/oleandergap-gate/src/fairQueue.ts
+++ b/packages/oleandergap-gate/src/fairQueue.ts
@@ -1,6 +1,7 @@
 /**
  * The waiting requests of a gate, by flow. A flow is what one caller's service of one partner asks of the target. A
- * free slot goes to the flow that holds the fewest, so that a flow that floods the queue waits for itself alone.
+ * free slot goes to the flow that holds the fewest, so that a flow that floods the queue waits for itself alone. Flows of
+ * a more urgent priority go before all others.
  */
 import type { Milliseconds } from "oleandergap-types";
 import type { QueueOrder } from "./options.js";
@@ -16,6 +17,8 @@
 /** One flow's running and waiting requests. It exists only while it has any. */
 export interface Flow<Item extends Waiting> {
     readonly key: string;
+    /** Flows of a lower number start first. */
+    readonly priority: number;
     readonly waiting: Item[];
     running: number;
     /** Grows with each start at the gate; the flow served longest ago wins among equals. */
@@ -25,7 +28,7 @@
 /** All flows of one gate. `size` counts waiting requests, not running ones. */
 export interface FairQueue<Item extends Waiting> {
     readonly size: () => number;
-    readonly flowOf: (key: string) => Flow<Item>;
+    readonly flowOf: (caller: string, priority: number) => Flow<Item>;
     readonly add: (flow: Flow<Item>, item: Item, now: Milliseconds) => void;
     /** False when the item no longer waits. */
     readonly remove: (flow: Flow<Item>, item: Item) => boolean;
@@ -62,8 +65,22 @@
     }
 };
 
-const startsBefore = <Item extends Waiting>(left: Flow<Item>, right: Flow<Item>): boolean =>
-    left.running !== right.running ? left.running < right.running : left.servedAt < right.servedAt;
+const startsBefore = <Item extends Waiting>(left: Flow<Item>, right: Flow<Item>): boolean => {
+    if (left.priority !== right.priority) {
+        return left.priority < right.priority;
+    }
+    return left.running !== right.running ? left.running < right.running : left.servedAt < right.servedAt;
+};
+
+const givesWayBefore = <Item extends Waiting>(left: Flow<Item>, right: Flow<Item>): boolean =>
+    left.priority !== right.priority ?
+        left.priority > right.priority :
+        left.waiting.length > right.waiting.length;
+
+/** Whether `other` has to make room for a request of `flow`: it is less urgent, or holds more of the queue. */
+const mustGiveWay = <Item extends Waiting>(other: Flow<Item>, flow: Flow<Item>): boolean =>
+    other.priority > flow.priority ||
+    (other.priority === flow.priority && other.waiting.length > flow.waiting.length + 1);
 
 /** Creates an empty queue; `order` holds within each flow. */
 export const createFairQueue = <Item extends Waiting>(order: QueueOrder): FairQueue<Item> => {
@@ -88,14 +105,15 @@
         return next;
     };
 
-    const findLongestFlow = (): Flow<Item> | undefined => {
-        let longest: Flow<Item> | undefined;
+    /** The flow that gives way first: of the least urgent ones that wait, the longest. */
+    const findDispensableFlow = (): Flow<Item> | undefined => {
+        let found: Flow<Item> | undefined;
         for (const flow of flows.values()) {
-            if (flow.waiting.length > (longest?.waiting.length ?? 0)) {
-                longest = flow;
+            if (flow.waiting.length > 0 && (found === undefined || givesWayBefore(flow, found))) {
+                found = flow;
             }
         }
-        return longest;
+        return found;
     };
 
     const currentOrder = (now: Milliseconds): QueueOrder => {
@@ -107,10 +125,11 @@
 
     return {
         size: () => size,
-        flowOf: (key) => {
+        flowOf: (caller, priority) => {
+            const key = `${priority} ${caller}`;
             let flow = flows.get(key);
             if (flow === undefined) {
-                flow = { key, waiting: [], running: 0, servedAt: starts };
+                flow = { key, priority, waiting: [], running: 0, servedAt: starts };
                 flows.set(key, flow);
             }
             return flow;
@@ -144,19 +163,22 @@
             const own = flow.waiting.length;
             let ahead = own;
             for (const other of flows.values()) {
-                if (other !== flow) {
+                if (other.priority < flow.priority) {
+                    ahead += other.waiting.length;
+                }
+                else if (other !== flow && other.priority === flow.priority) {
                     ahead += Math.min(other.waiting.length, own + 1);
                 }
             }
             return ahead;
         },
         takeExcess: (flow) => {
-            const longest = findLongestFlow();
-            if (longest === undefined || longest.waiting.length <= flow.waiting.length + 1) {
+            const other = findDispensableFlow();
+            if (other === undefined || !mustGiveWay(other, flow)) {
                 return undefined;
             }
             size -= 1;
-            return longest.waiting.pop();
+            return other.waiting.pop();
         },
         dropIfIdle,
         markStarted: (flow) => {
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -51,11 +51,10 @@
         waiter.settle(refusals.forCapacity("DeadlinePassed"));
     };
 
-    /** Without a target nothing that waits can run, so it is told at once. */
-    const refuseAllWaiting = (): void => {
+    const refuseAllWaiting = (reason: "Draining" | "NotReady"): void => {
         for (let waiter = queue.takeNext(0); waiter !== undefined; waiter = queue.takeNext(0)) {
             queue.dropIfIdle(waiter.flow);
-            waiter.settle(refusals.forAbsence("NotReady"));
+            waiter.settle(refusals.forAbsence(reason));
         }
         drain.finishIfEmpty();
     };
@@ -106,7 +105,7 @@
         if (refusalAtOnce !== undefined) {
             return refusalAtOnce;
         }
-        const flow = queue.flowOf(`${request.partner}/${request.service}`);
+        const flow = queue.flowOf(`${request.partner}/${request.service}`, request.priority ?? 0);
         const refusalForDeadline = refusals.forDeadline(request, queue.countAhead(flow));
         if (refusalForDeadline === undefined && !slots.isFull()) {
             return slots.take(flow, clock.monotonic());
@@ -124,7 +123,8 @@
         capacity = Math.min(nextLimit.concurrency, nextSlots);
         startWaiting();
         if (nextSlots === 0) {
-            refuseAllWaiting();
+            // Without a target nothing that waits can run, so it is told at once.
+            refuseAllWaiting("NotReady");
         }
     };
 
@@ -138,5 +138,6 @@
             expectedWaitMs: forecast.wait(state(), queue.size(), clock.monotonic()),
         }),
         drain: drain.start,
+        refuseWaiting: () => refuseAllWaiting("Draining"),
     };
 };
--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -7,7 +7,9 @@
 import type { Closure } from "../admin/readiness.js";
 import { createGatewayHandler } from "../gateway/gatewayHandler.js";
 import type { FindOwnerRouter } from "../gateway/ownerRouting.js";
+import { createServiceChooser } from "../gateway/routeTable.js";
 import { createSendToGate } from "../gateway/sendToGate.js";
+import { ownDialects } from "../http/dialect.js";
 import { createConnectionPools } from "../http/connectionPools.js";
 import type { Listener } from "../http/listener.js";
 import { LOOPBACK, startTestListener, TEST_LIMIT, type Cleanup } from "./support.js";
@@ -20,17 +22,19 @@
     limitName: "filing",
     limit: TEST_LIMIT,
     idempotency: "optional",
+    placement: "weights",
     ...changes,
 });
 
-export const createView = (row: ServiceRow, sequence = 7): TableView => {
-    const table: PartnerTable = {
-        head: { partner: "halloway", sequence, digest: "0".repeat(64) },
-        services: new Map([[row.service, row]]),
-        zones: new Set(["hall-a"]),
-    };
-    return new Map([["halloway", table]]);
-};
+export const createTable = (row: ServiceRow, sequence = 7): PartnerTable => ({
+    head: { partner: "halloway", sequence, digest: "0".repeat(64) },
+    services: new Map([[row.service, row]]),
+    zones: new Set(["hall-a"]),
+    routes: new Map(),
+});
+
+export const createView = (row: ServiceRow, sequence = 7): TableView =>
+    new Map([["halloway", createTable(row, sequence)]]);
 
 export const createMember = (nodeId: string, gatePort: number): TargetMember => ({
     nodeId,
@@ -63,6 +67,8 @@
     return startTestListener(cleanup, clock, createGatewayHandler({
         clock,
         logger: createLogger("test"),
+        dialect: ownDialects.caller,
+        chooseService: createServiceChooser(createSeededRandom(1)),
         view: options.view ?? (() => view),
         findTargets: () => targets,
         router: createRequestRouter({ clock, picker }),
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -11,6 +11,7 @@
 import { createServeAtGate } from "../gate/serveAtGate.js";
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
 import { startListener, type HandleRequest, type Listener } from "../http/listener.js";
+import { ownDialects } from "../http/dialect.js";
 import { createTargetKeeper, type TargetKeeper } from "../target/targetKeeper.js";
 
 export const LOOPBACK = "127.0.0.1";
@@ -214,12 +215,15 @@
         limitOf: () => limit,
         createGate: (initial, slots) => createGate({ clock, limit: initial, slots, options: defaultGateOptions }),
         heartbeatTimeoutMs: 3000,
+        leavingQueueMs: 1000,
+        slowStartMs: 10_000,
     });
     const serve = createServeAtGate({
         clock,
         pools,
         currentTarget: keeper.current,
         claims,
+        dialect: ownDialects.target,
         maxAnswerBytes: 1024,
         minSilenceMs: 1000,
         bodySilenceMs: 30_000,
--- a/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
@@ -27,6 +27,8 @@
         limitOf: () => limit,
         createGate: (initial, slots) => createGate({ clock, limit: initial, slots }),
         heartbeatTimeoutMs: HEARTBEAT_TIMEOUT_MS,
+        leavingQueueMs: 1000,
+        slowStartMs: 10_000,
     });
     return {
         clock,
--- a/packages/oleandergap-node/src/__tests__/targetLookup.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetLookup.test.ts
@@ -2,13 +2,16 @@
 import type { TargetMember } from "oleandergap-membership";
 import { createManualClock } from "oleandergap-utils";
 import { createTargetLookup, type TargetQuery } from "../gateway/targetLookup.js";
-import { createMember, createRow } from "./gatewaySupport.js";
+import { createMember, createRow, createTable } from "./gatewaySupport.js";
 
 const FIRST_LOOKUP_MS = 500;
 
+const row = createRow({ weights: new Map([["hall-a", 0], ["hall-b", 5]]) });
+
 const createQuery = (): TargetQuery => ({
     service: { partner: "halloway", service: "grant-filer" },
-    row: createRow({ weights: new Map([["hall-a", 0], ["hall-b", 5]]) }),
+    row,
+    table: createTable(row),
     deadline: Number.POSITIVE_INFINITY,
     signal: new AbortController().signal,
 });
--- /dev/null
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -0,0 +1,64 @@
+/** What a node takes from its surroundings, each with the project's own way as the default. */
+import { createObjectStoreClient, createTableServiceClient } from "oleandergap-platform";
+import type { ObjectStoreClient, TableServiceClient } from "oleandergap-platform";
+import { createConfigurationSource, type ConfigurationSource } from "oleandergap-configuration";
+import type { Clock, ServiceReference } from "oleandergap-types";
+import type { Logger } from "oleandergap-logger";
+import type { Readiness } from "./admin/readiness.js";
+import { ownDialects, type Dialects } from "./http/dialect.js";
+import type { HandleRequest } from "./http/listener.js";
+import type { NodeOptions } from "./options.js";
+import type { TargetKeeper } from "./target/targetKeeper.js";
+
+/** The platform as a node sees it. */
+export interface PlatformPorts {
+    readonly tableService: TableServiceClient;
+    readonly objectStore: ObjectStoreClient;
+    /** Where accepted versions are read. */
+    readonly source: ConfigurationSource;
+}
+
+/** What the ports to the platform are made from. */
+export interface PlatformContext {
+    readonly options: NodeOptions;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly signal: AbortSignal;
+}
+
+/** Parts of the node that a further listener may need. */
+export interface ListenerContext {
+    readonly target: TargetKeeper;
+    readonly readiness: () => Readiness;
+    readonly createPartLogger: (part: string) => Logger;
+}
+
+/** A further HTTP server of the node. */
+export interface ListenerPlan {
+    /** Named in errors. */
+    readonly name: string;
+    readonly address: string;
+    readonly port: number;
+    readonly handle: HandleRequest;
+}
+
+/** The surroundings of one node. */
+export interface NodeAdapters {
+    readonly dialects: Dialects;
+    readonly openPlatform: (context: PlatformContext) => PlatformPorts;
+    /** The service of all callers at the gateway, where they all belong to this VM; else it is told by their address. */
+    readonly callerService: ServiceReference | undefined;
+    readonly createListeners: (context: ListenerContext) => readonly ListenerPlan[];
+}
+
+/** The node's own headers, the two services of the platform at the addresses of the settings, no further listeners. */
+export const ownAdapters: NodeAdapters = {
+    dialects: ownDialects,
+    openPlatform: ({ options, clock, signal }) => {
+        const tableService = createTableServiceClient({ ...options.platform.tableService, clock, signal });
+        const objectStore = createObjectStoreClient({ ...options.platform.objectStore, clock, signal });
+        return { tableService, objectStore, source: createConfigurationSource({ tableService, objectStore }) };
+    },
+    callerService: undefined,
+    createListeners: () => [],
+};
--- a/packages/oleandergap-node/src/admin/readiness.ts
+++ b/packages/oleandergap-node/src/admin/readiness.ts
@@ -6,7 +6,10 @@
 export interface ReadinessState {
     listening: boolean;
     recovered: boolean;
+    /** The node is to stop; nobody should be sent to it any more. */
     draining: boolean;
+    /** Requests that arrive all the same are refused. */
+    refusing: boolean;
 }
 
 export interface Readiness {
@@ -15,7 +18,7 @@
     readonly reasons: readonly string[];
 }
 
-export const createReadinessState = (): ReadinessState => ({ listening: false, recovered: false, draining: false });
+export const createReadinessState = (): ReadinessState => ({ listening: false, recovered: false, draining: false, refusing: false });
 
 export const describeReadiness = (state: ReadinessState): Readiness => {
     const reasons: string[] = [];
@@ -41,7 +44,7 @@
 const RECOVERY_RETRY_AFTER_MS = 1000;
 
 /**
- * Undefined while the node accepts requests. A draining node still accepts those of its own target, whose requests in
+ * Undefined while the node accepts requests. A stopping node still accepts those of its own target, whose requests in
  * flight may need other services to be finished.
  */
 export const findClosure = (
@@ -52,5 +55,5 @@
     if (!state.recovered) {
         return { reason: "NotReady", retryAfterMs: RECOVERY_RETRY_AFTER_MS };
     }
-    return state.draining && !isOwnTarget ? { reason: "Draining", retryAfterMs: lingerMs } : undefined;
+    return state.refusing && !isOwnTarget ? { reason: "Draining", retryAfterMs: lingerMs } : undefined;
 };
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -1,6 +1,5 @@
 /** Wires configuration, membership and distribution: what a node knows of the table and of other nodes. */
 import {
-    createConfigurationSource,
     createConfigurationStore,
     type ConfigurationSource,
     type ConfigurationStore,
@@ -22,10 +21,11 @@
     type Membership,
     type TargetDirectory,
 } from "oleandergap-membership";
-import type { Clock, ObjectStore, ServiceReference, TableService, ZoneName } from "oleandergap-types";
+import type { Clock, ObjectStore, ServiceReference, ZoneName } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { PeerAccess } from "./control/peerAccess.js";
 import { createZoneFetcher } from "./control/zoneFetcher.js";
+import { listServingZones } from "./gateway/targetLookup.js";
 import type { NodeOptions } from "./options.js";
 
 export interface ControlPlaneDependencies {
@@ -33,8 +33,8 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly createPartLogger: (part: string) => Logger;
-    readonly tableService: TableService;
     readonly objectStore: ObjectStore;
+    readonly source: ConfigurationSource;
     readonly peerAccess: PeerAccess;
     readonly signal: AbortSignal;
 }
@@ -54,7 +54,7 @@
 const DELTA_HISTORY = 256;
 
 export const createControlPlane = (dependencies: ControlPlaneDependencies): ControlPlane => {
-    const { options, clock, random, createPartLogger, tableService, objectStore, peerAccess, signal } = dependencies;
+    const { options, clock, random, createPartLogger, objectStore, source, peerAccess, signal } = dependencies;
     const { nodeId, zone, partners, listen } = options;
     const self = {
         id: nodeId,
@@ -69,7 +69,6 @@
         logger: createPartLogger("configuration"),
         deltaHistory: DELTA_HISTORY,
     });
-    const source = createConfigurationSource({ tableService, objectStore });
     const spreadTransport = createSpreadTransport({
         transport: peerAccess.seal(createUdpTransport({
             address: listen.address,
@@ -113,8 +112,15 @@
         signal,
     });
     spreadTransport.onMessage(spread.receive);
-    const zonesOf = ({ partner, service }: ServiceReference): readonly ZoneName[] =>
-        [...store.view().get(partner)?.services.get(service)?.weights.keys() ?? []];
+    // Contacts are looked for in the zones that the tables name, whether or not a seed stands there.
+    store.subscribe(() => {
+        membership.addZones([...store.view().values()].flatMap((table) => [...table.zones]));
+    });
+    const zonesOf = ({ partner, service }: ServiceReference): readonly ZoneName[] => {
+        const table = store.view().get(partner);
+        const row = table?.services.get(service);
+        return table === undefined || row === undefined ? [] : listServingZones(table, row);
+    };
     const directory: TargetDirectory = createTargetDirectory({
         membership,
         fetchZone: createZoneFetcher({ clock, contactsOf: membership.contactsOf, peers }),
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -2,9 +2,9 @@
 import { setMaxListeners } from "node:events";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import { createLogger } from "oleandergap-logger";
-import { createObjectStoreClient, createTableServiceClient } from "oleandergap-platform";
 import type { ReadFleetKeys } from "oleandergap-membership";
 import type { Clock, MemberTarget } from "oleandergap-types";
+import { ownAdapters, type NodeAdapters } from "./adapters.js";
 import { createAdminHandler } from "./admin/adminHandler.js";
 import { addNodeGauges } from "./admin/gauges.js";
 import { createNodeMetrics } from "./admin/metrics.js";
@@ -23,6 +23,7 @@
     readonly clock: Clock;
     /** Without keys, whoever reaches the control port is taken for a node. */
     readonly readKeys: ReadFleetKeys | undefined;
+    readonly adapters?: NodeAdapters;
     /** Ends everything at once when it aborts. */
     readonly signal: AbortSignal;
 }
@@ -36,18 +37,24 @@
 
 const BASE_36 = 36;
 
-export const createNode = ({ options, clock, readKeys, signal }: NodeDependencies): Node => {
+export const createNode = ({
+    options,
+    clock,
+    readKeys,
+    adapters = ownAdapters,
+    signal,
+}: NodeDependencies): Node => {
     // Each part of a node listens to this signal; their number is known and does not grow.
     setMaxListeners(0, signal);
     const random = Math.random;
     const bootId = `${Math.floor(clock.now()).toString(BASE_36)}${Math.floor(random() * 1e6).toString(BASE_36)}`;
     const readiness = createReadinessState();
     const metrics = createNodeMetrics();
-    const tableService = createTableServiceClient({ ...options.platform.tableService, clock, signal });
-    const objectStore = createObjectStoreClient({ ...options.platform.objectStore, clock, signal });
+    const platform = adapters.openPlatform({ options, clock, logger: createLogger("platform"), signal });
+    const { tableService, objectStore } = platform;
     const peerAccess = createPeerAccess({ listen: options.listen, readKeys });
     const shared = {
-        options, clock, random, createPartLogger: createLogger, tableService, objectStore, peerAccess, signal,
+        options, clock, random, createPartLogger: createLogger, ...platform, peerAccess, signal,
     };
 
     const controlPlane = createControlPlane(shared);
@@ -62,6 +69,8 @@
     };
     const requestPath = createRequestPath({
         ...shared,
+        dialects: adapters.dialects,
+        callerService: adapters.callerService,
         metrics,
         bootId,
         view: store.view,
@@ -96,6 +105,11 @@
                 logger: createLogger("admin"),
             }),
         },
+        furtherListeners: adapters.createListeners({
+            target: requestPath.target,
+            readiness: () => describeReadiness(readiness),
+            createPartLogger: createLogger,
+        }),
         onRecovered: publishTarget,
         signal,
     });
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -23,7 +23,9 @@
 import { createGatewayHandler } from "./gateway/gatewayHandler.js";
 import { createSendToGate } from "./gateway/sendToGate.js";
 import { createOwnerRouting, listOwners } from "./gateway/ownerRouting.js";
-import { createTargetLookup, listWeightedZones } from "./gateway/targetLookup.js";
+import { createServiceChooser } from "./gateway/routeTable.js";
+import { createTargetLookup, listServingZones } from "./gateway/targetLookup.js";
+import type { Dialects } from "./http/dialect.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
 import type { HandleRequest } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
@@ -43,6 +45,9 @@
     /** Differs with each start of the process. */
     readonly bootId: string;
     readonly readiness: Readonly<ReadinessState>;
+    readonly dialects: Dialects;
+    /** The service of all callers at the gateway, where they all belong to this VM. */
+    readonly callerService: ServiceReference | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -77,15 +82,19 @@
         publish: dependencies.publishTarget,
         limitOf: (service) => findRow(view(), service)?.limit,
         createGate: (limit, slots) => createGate({ clock, limit, slots, options: options.gate }),
-        heartbeatTimeoutMs: options.target.heartbeatTimeoutMs,
+        ...options.target,
+        slowStartMs: options.routing.picker.slowStartMs,
     });
     const services = (): readonly ServiceReference[] => {
         const announcement = target.current()?.announcement;
         return announcement === undefined ? [] : [{ partner: announcement.partner, service: announcement.service }];
     };
     const listMembers = (service: ServiceReference): readonly NodeId[] => {
+        const table = view().get(service.partner);
         const row = findRow(view(), service);
-        return row === undefined ? [] : listOwners(dependencies.directory.targetsOf(service, listWeightedZones(row)));
+        return table === undefined || row === undefined ?
+            [] :
+            listOwners(dependencies.directory.targetsOf(service, listServingZones(table, row)));
     };
     const claims = createClaims({
         tableService: dependencies.tableService,
@@ -113,6 +122,7 @@
         clock,
         pools,
         claims,
+        dialect: dependencies.dialects.target,
         currentTarget: target.current,
         maxAnswerBytes: options.claims.maxAnswerBytes,
         minSilenceMs: requests.targetSilenceMs,
@@ -137,6 +147,8 @@
     const handleGateway = createGatewayHandler({
         clock,
         logger: createPartLogger("gateway"),
+        dialect: dependencies.dialects.caller,
+        chooseService: createServiceChooser(random),
         view,
         findTargets: createTargetLookup({
             clock,
@@ -162,8 +174,15 @@
             bodySilenceMs: requests.bodySilenceMs,
         }),
         closed: (callingService) =>
-            findClosure(dependencies.readiness, callingService !== undefined, options.stop.lingerMs),
+            findClosure(
+                dependencies.readiness,
+                callingService !== undefined && dependencies.callerService === undefined,
+                options.stop.lingerMs,
+            ),
         callerAt: (address) => {
+            if (dependencies.callerService !== undefined) {
+                return dependencies.callerService;
+            }
             const announcement = target.current()?.announcement;
             return announcement !== undefined && announcement.address === address ? announcement : undefined;
         },
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -19,10 +19,16 @@
 } from "oleandergap-types";
 import { toRequestEnd, type RequestEnd } from "../http/requestEnd.js";
 import { createCallerSignal } from "../http/callerSignal.js";
-import { CALLER_HEADER, readRequestHeader, selectRequestHeaders } from "../http/headers.js";
+import {
+    CALLER_HEADER,
+    IDEMPOTENT_HEADER,
+    PRIORITY_HEADER,
+    readRequestHeader,
+    selectRequestHeaders,
+} from "../http/headers.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
 import { formatLoad } from "../http/loadHeader.js";
-import { HTTP_STATUS, statusOfFailure } from "../http/refusal.js";
+import { describeFailure, HTTP_STATUS, statusOfFailure } from "../http/refusal.js";
 import { receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
 import { parseTimeout } from "../http/timeoutHeader.js";
 import { writeAnswer, writeFailure } from "../http/writeAnswer.js";
@@ -69,6 +75,19 @@
     return service;
 };
 
+/** Only the gateway knows the route; without its word the method decides. */
+const readIdempotent = (request: IncomingMessage, method: string): boolean => {
+    const told = readRequestHeader(request, IDEMPOTENT_HEADER);
+    return told === undefined ? isIdempotentMethod(method) : told === "yes";
+};
+
+const PRIORITY_PATTERN = /^\d{1,4}$/;
+
+const readPriority = (request: IncomingMessage): number => {
+    const told = readRequestHeader(request, PRIORITY_HEADER);
+    return told !== undefined && PRIORITY_PATTERN.test(told) ? Number(told) : 0;
+};
+
 type GateHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
 
 const readHead = (
@@ -92,7 +111,8 @@
         path: request.url ?? "/",
         headers: selectRequestHeaders(request),
         host: request.headers.host ?? "",
-        idempotent: isIdempotentMethod(method),
+        idempotent: readIdempotent(request, method),
+        priority: readPriority(request),
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
         deadline: clock.monotonic() + timeout.right,
@@ -121,7 +141,7 @@
     };
 
     const refuse = (response: ServerResponse, failure: RequestFailure, requestId: string | undefined): void =>
-        writeFailure(response, failure, describe(requestId), { statusCode: statusOf(failure) });
+        writeFailure(response, describeFailure(failure, { statusCode: statusOf(failure) }), describe(requestId));
 
     const serveBody = async (response: ServerResponse, head: GateHead, body: RequestBody): Promise<void> => {
         const signs = startSignsOfLife(clock, response, body.kind === "Streaming");
--- a/packages/oleandergap-node/src/gate/gateRequest.ts
+++ b/packages/oleandergap-node/src/gate/gateRequest.ts
@@ -17,6 +17,8 @@
     readonly host: string;
     readonly body: RequestBody;
     readonly idempotent: boolean;
+    /** Rank among the requests of the target; 0 goes first. */
+    readonly priority: number;
     /** Key of a non-idempotent request. */
     readonly idempotencyKey: string | undefined;
     /** Id of the attempt. */
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -3,16 +3,10 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Admission, ReleaseOutcome } from "oleandergap-gate";
 import type { ClaimKeeper } from "oleandergap-idempotency";
-import {
-    REQUEST_ID_HEADER,
-    TIMEOUT_HEADER,
-    type Clock,
-    type Milliseconds,
-    type RequestFailure,
-} from "oleandergap-types";
+import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
 import { discardBody, observeBody, type Answer } from "../http/answer.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
-import { readTargetRefusal } from "../http/refusal.js";
+import type { TargetDialect, TargetRequest } from "../http/dialect.js";
 import { sendWatched } from "../http/watchedExchange.js";
 import type { LocalTarget } from "../target/targetKeeper.js";
 import { createClaimedRun } from "./claimedRun.js";
@@ -24,6 +18,7 @@
     readonly currentTarget: () => LocalTarget | undefined;
     readonly pools: ConnectionPools;
     readonly claims: Pick<ClaimKeeper, "claim">;
+    readonly dialect: TargetDialect;
     /** Largest answer that a claim keeps for repeats, in bytes. */
     readonly maxAnswerBytes: number;
     /** Least silence after which an idempotent request is tried on a new connection. */
@@ -61,11 +56,11 @@
 });
 
 /** A target that says that it did not run the request is believed; its answer's body is of no use. */
-const readRefusal = (outcome: Outcome): Outcome => {
+const readRefusal = (dialect: TargetDialect, outcome: Outcome): Outcome => {
     if (either.isLeft(outcome)) {
         return outcome;
     }
-    const refusal = readTargetRefusal(outcome.right.headers);
+    const refusal = dialect.readRefusal(outcome.right.statusCode, outcome.right.headers);
     if (refusal === undefined) {
         return outcome;
     }
@@ -74,7 +69,7 @@
 };
 
 export const createServeAtGate = (dependencies: ServeAtGateDependencies): ServeAtGate => {
-    const { clock, pools } = dependencies;
+    const { clock, pools, dialect } = dependencies;
     const latency = createLatencyMeter();
     let tries = 0;
 
@@ -87,7 +82,14 @@
     };
 
     const sendToTarget = async (target: LocalTarget, request: GateRequest): Promise<Outcome> => {
-        const { address, port, connections } = target.announcement;
+        const { address, port, connections, instanceId } = target.announcement;
+        const describe = (tryId: string): TargetRequest => ({
+            headers: request.headers,
+            caller: request.caller,
+            tryId,
+            remainingMs: Math.max(0, Math.floor(request.deadline - clock.monotonic())),
+            instanceId,
+        });
         const startedAt = clock.monotonic();
         const outcome = await sendWatched(clock, {
             method: request.method,
@@ -106,17 +108,18 @@
                 tries++;
                 return `${request.requestId}.${tries}`;
             },
-            headersOf: (requestId) => [
+            answerIdHeader: dialect.answerIdHeader,
+            answerIdOf: (tryId) => dialect.expectAnswerId(describe(tryId)),
+            headersOf: (tryId) => [
                 "host", request.host,
                 ...request.headers,
-                TIMEOUT_HEADER, String(Math.max(0, Math.floor(request.deadline - clock.monotonic()))),
-                REQUEST_ID_HEADER, requestId,
+                ...dialect.describeRequest(describe(tryId)),
             ],
         });
         if (either.isRight(outcome)) {
             latency.add(clock.monotonic() - startedAt);
         }
-        return readRefusal(outcome);
+        return readRefusal(dialect, outcome);
     };
 
     const runClaimed = (target: LocalTarget): ServeAtGate =>
@@ -129,6 +132,7 @@
         }
         const admission = await target.gate.admit({
             ...request.caller,
+            priority: request.priority,
             deadline: request.deadline,
             signal: request.signal,
         });
--- a/packages/oleandergap-node/src/gateway/callerRequest.ts
+++ b/packages/oleandergap-node/src/gateway/callerRequest.ts
@@ -5,19 +5,19 @@
 import {
     IDEMPOTENCY_KEY_HEADER,
     MAX_NAME_LENGTH,
-    REQUEST_ID_HEADER,
-    TIMEOUT_HEADER,
     type Clock,
     type Milliseconds,
     type PartnerTable,
     type RequestFailure,
+    type Route,
     type ServiceReference,
     type ServiceRow,
     type TableView,
 } from "oleandergap-types";
-import { countHeader, readRequestHeader, selectRequestHeaders } from "../http/headers.js";
+import type { CallerDialect } from "../http/dialect.js";
+import { countHeader, selectRequestHeaders } from "../http/headers.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
-import { parseTimeout } from "../http/timeoutHeader.js";
+import { findRoute, type ChooseService } from "./routeTable.js";
 
 /** A caller's request, without its body, together with the version of the table that it is served by. */
 export interface CallerRequest {
@@ -29,15 +29,16 @@
     readonly headers: readonly string[];
     readonly host: string;
     readonly idempotent: boolean;
+    /** Rank among the requests of a service; 0 goes first. */
+    readonly priority: number;
+    /** Most targets that the request may reach; undefined without a route. */
+    readonly maximumTargets: number | undefined;
     readonly idempotencyKey: string | undefined;
     readonly deadline: Milliseconds;
 }
 
 const MAX_HOST_LENGTH = 2 * MAX_NAME_LENGTH + ".:65535".length;
 const HOST_PATTERN = /^([a-z0-9-]+)\.([a-z0-9-]+)(?::\d{1,5})?$/;
-/** Ids of callers are echoed, so they are held to harmless characters. */
-const REQUEST_ID_PATTERN = /^[A-Za-z0-9._~:+=/-]{1,128}$/;
-
 const badRequest = (detail: string): RequestFailure => ({ kind: "BadRequest", verdict: "notRun", detail });
 
 const unknownService: RequestFailure = {
@@ -71,28 +72,49 @@
     return service;
 };
 
-/** The caller's own id of its request, or undefined when it gave none that can be echoed. */
-export const readCallerRequestId = (request: IncomingMessage): string | undefined => {
-    const id = readRequestHeader(request, REQUEST_ID_HEADER);
-    return id !== undefined && REQUEST_ID_PATTERN.test(id) ? id : undefined;
-};
+/** Rank of a request that no route names. */
+const USUAL_PRIORITY = 0;
 
-interface Route {
+/** Where a request goes by the tables in force. */
+interface Destination {
     readonly service: ServiceReference;
     readonly row: ServiceRow;
     readonly table: PartnerTable;
+    /** Undefined when the Host header names the service itself. */
+    readonly route: Route | undefined;
 }
 
-const findRoute = (view: TableView, host: string): Either<RequestFailure, Route> => {
+const findRoutedService = (
+    view: TableView,
+    host: string,
+    path: string,
+    chooseService: ChooseService,
+): Destination | undefined => {
+    const found = findRoute(view, host, path);
+    if (found === undefined) {
+        return undefined;
+    }
+    const { route, table } = found;
+    const service = chooseService(route);
+    const row = table.services.get(service);
+    // The table was checked for it: a route names only services of its own version.
+    return row && { service: { partner: table.head.partner, service }, row, table, route };
+};
+
+/** A service that the Host header names. */
+const findNamedService = (view: TableView, host: string): Either<RequestFailure, Destination> => {
     const service = parseHost(host);
     if (service === undefined) {
-        return either.left(badRequest("the Host header must be service.partner, for example grant-filer.halloway"));
+        const hasRoutes = [...view.values()].some((table) => table.routes.size > 0);
+        return either.left(hasRoutes ?
+            unknownService :
+            badRequest("the Host header must be service.partner, for example grant-filer.halloway"));
     }
     const table = view.get(service.partner);
     const row = table?.services.get(service.service);
     return table === undefined || row === undefined ?
         either.left(unknownService) :
-        either.right({ service, row, table });
+        either.right({ service, row, table, route: undefined });
 };
 
 const checkKey = (row: ServiceRow, idempotent: boolean, key: string | undefined): RequestFailure | undefined =>
@@ -100,10 +122,24 @@
         badRequest(`requests of this service that may not run twice need the ${IDEMPOTENCY_KEY_HEADER} header`) :
         undefined;
 
-/** Reads `request` against the tables in force now; the request keeps them to its end. */
+/** What reading a request depends on. */
+export interface CallerRequestContext {
+    readonly clock: Clock;
+    /** The tables in force now; the request keeps them to its end. */
+    readonly view: TableView;
+    readonly dialect: CallerDialect;
+    readonly chooseService: ChooseService;
+}
+
+/** The operator's bound and the caller's; the shorter one holds. */
+const chooseTimeout = ({ route, row }: Destination, asked: Milliseconds | undefined): Milliseconds =>
+    route === undefined ?
+        asked ?? row.limit.timeoutMs :
+        Math.min(asked ?? route.timeoutMs, route.timeoutMs);
+
+/** Reads the head of `request`. */
 export const readCallerRequest = (
-    clock: Clock,
-    view: TableView,
+    { clock, view, dialect, chooseService }: CallerRequestContext,
     request: IncomingMessage,
 ): Either<RequestFailure, CallerRequest> => {
     const receivedAt = clock.monotonic();
@@ -116,32 +152,35 @@
         return either.left(badRequest("the request target must be a path"));
     }
     const host = request.headers.host ?? "";
-    const route = findRoute(view, host);
-    if (either.isLeft(route)) {
-        return route;
+    const routed = findRoutedService(view, host, path, chooseService);
+    const destination = routed === undefined ? findNamedService(view, host) : either.right(routed);
+    if (either.isLeft(destination)) {
+        return destination;
     }
-    const { row } = route.right;
-    const timeout = parseTimeout(readRequestHeader(request, TIMEOUT_HEADER), row.limit.timeoutMs);
+    const { service, row, table, route } = destination.right;
+    const timeout = dialect.readTimeout(request);
     if (either.isLeft(timeout)) {
         return timeout;
     }
     const method = request.method ?? "";
-    const idempotent = isIdempotentMethod(method);
-    const idempotencyKey = readRequestHeader(request, IDEMPOTENCY_KEY_HEADER);
+    const idempotent = route === undefined ? isIdempotentMethod(method) : route.kind === "safe";
+    const idempotencyKey = dialect.readIdempotencyKey(request);
     const keyProblem = checkKey(row, idempotent, idempotencyKey);
     if (keyProblem !== undefined) {
         return either.left(keyProblem);
     }
     return either.right({
-        service: route.right.service,
+        service,
         row,
-        table: route.right.table,
+        table,
         method,
         path,
-        headers: selectRequestHeaders(request),
+        headers: selectRequestHeaders(request, dialect.reservedHeaders),
         host,
         idempotent,
+        priority: route?.priority ?? USUAL_PRIORITY,
+        maximumTargets: route?.maxAttempts,
         idempotencyKey: idempotent ? undefined : idempotencyKey,
-        deadline: receivedAt + timeout.right,
+        deadline: receivedAt + chooseTimeout(destination.right, timeout.right),
     });
 };
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -4,32 +4,33 @@
 import type { Logger } from "oleandergap-logger";
 import type { TargetMember } from "oleandergap-membership";
 import type { RequestRouter } from "oleandergap-routing";
-import {
-    REQUEST_ID_HEADER,
-    RETRY_HEADER,
-    VERDICT_HEADER,
-    VERSION_HEADER,
-    type Clock,
-    type Milliseconds,
-    type RequestFailure,
-    type ServiceReference,
-    type TableView,
+import type {
+    Clock,
+    Head,
+    Milliseconds,
+    RequestFailure,
+    ServiceReference,
+    TableView,
+    Verdict,
 } from "oleandergap-types";
 import type { Closure } from "../admin/readiness.js";
 import { createCallerSignal } from "../http/callerSignal.js";
-import { readRequestHeader } from "../http/headers.js";
+import type { CallerDialect } from "../http/dialect.js";
 import { HTTP_STATUS } from "../http/refusal.js";
 import { canSendAgain, receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
 import type { RequestEnd } from "../http/requestEnd.js";
 import { writeAnswer, writeFailure } from "../http/writeAnswer.js";
-import { readCallerRequest, readCallerRequestId, type CallerRequest } from "./callerRequest.js";
+import { readCallerRequest, type CallerRequest } from "./callerRequest.js";
 import type { FindOwnerRouter } from "./ownerRouting.js";
+import type { ChooseService } from "./routeTable.js";
 import type { FindTargets } from "./targetLookup.js";
 import type { SendToGate } from "./sendToGate.js";
 
 export interface GatewayHandlerDependencies {
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly dialect: CallerDialect;
+    readonly chooseService: ChooseService;
     /** The tables in force now. */
     readonly view: () => TableView;
     readonly findTargets: FindTargets;
@@ -50,34 +51,40 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly startedAt: Milliseconds;
-    /** Headers of the answer that are known before it. */
-    readonly headers: Record<string, string>;
+    /** The caller's own id of its request. */
+    readonly requestId: string | undefined;
     /** Service of the caller, when the caller is this node's own target. */
     readonly callingService: ServiceReference | undefined;
     /** Known once the request's head was read. */
     deadline: Milliseconds;
+    /** The version that the request is served by, once its head was read. */
+    version: Head | undefined;
+    /** A hop below has retried. */
+    isRetried: boolean;
 }
 
 /** Timers may fire this much before their time. */
 const TIMER_TOLERANCE_MS = 2;
 
 export const createGatewayHandler = (dependencies: GatewayHandlerDependencies) => {
-    const { clock } = dependencies;
+    const { clock, dialect } = dependencies;
+
+    const describeAnswer = ({ version, requestId, isRetried }: Passage, verdict: Verdict): Record<string, string> =>
+        dialect.describeAnswer({ verdict, version, requestId, isRetried });
 
     const refuse = (passage: Passage, failure: RequestFailure, retryAfterMs?: Milliseconds): void => {
         const now = clock.monotonic();
         const isLate = failure.kind === "AnswerLost" && now >= passage.deadline - TIMER_TOLERANCE_MS;
-        writeFailure(passage.response, failure, passage.headers, {
-            statusCode: isLate ? HTTP_STATUS.gatewayTimeout : undefined,
-            retryAfterMs,
-        });
+        const context = { statusCode: isLate ? HTTP_STATUS.gatewayTimeout : undefined, retryAfterMs };
+        const described = dialect.describeFailure(failure, context);
+        writeFailure(passage.response, described, describeAnswer(passage, failure.verdict));
         dependencies.countRequest({ kind: "Failed", failure }, now - passage.startedAt);
     };
 
     const route = async (passage: Passage, caller: CallerRequest, body: RequestBody): Promise<void> => {
         const signal = createCallerSignal(passage.response);
-        const { service, row, deadline } = caller;
-        const found = dependencies.findTargets({ service, row, deadline, signal });
+        const { service, row, table, deadline } = caller;
+        const found = dependencies.findTargets({ service, row, table, deadline, signal });
         const targets = found instanceof Promise ? await found : found;
         const ownerRouter = caller.idempotencyKey === undefined ?
             undefined :
@@ -89,26 +96,22 @@
             idempotent: caller.idempotent,
             replayable: () => canSendAgain(body),
             deadline,
-            retriesAllowed: readRequestHeader(passage.request, RETRY_HEADER) !== "no",
+            retriesAllowed: !dialect.forbidsRetries(passage.request),
+            maximumTargets: caller.maximumTargets,
             signal,
         }, (target, context) =>
             dependencies.send(target, { request: caller, caller: passage.callingService, body, ...context }));
 
         if (either.isLeft(routed)) {
-            if (routed.left.retriedBelow) {
-                passage.headers[RETRY_HEADER] = "no";
-            }
+            passage.isRetried = routed.left.retriedBelow;
             refuse(passage, routed.left.failure, routed.left.retryAfterMs);
             return;
         }
         const { answer, retriedBelow } = routed.right;
-        if (retriedBelow) {
-            passage.headers[RETRY_HEADER] = "no";
-        }
-        passage.headers[VERDICT_HEADER] = "ran";
+        passage.isRetried = retriedBelow;
         const duration = clock.monotonic() - passage.startedAt;
         dependencies.countRequest({ kind: "Answered", statusCode: answer.statusCode }, duration);
-        writeAnswer(passage.response, answer, passage.headers);
+        writeAnswer(passage.response, answer, describeAnswer(passage, "ran"));
     };
 
     const handle = async (passage: Passage): Promise<void> => {
@@ -117,13 +120,13 @@
             refuse(passage, { kind: "Refused", verdict: "notRun", ...closed });
             return;
         }
-        const caller = readCallerRequest(clock, dependencies.view(), passage.request);
+        const { chooseService } = dependencies;
+        const caller = readCallerRequest({ clock, view: dependencies.view(), dialect, chooseService }, passage.request);
         if (either.isLeft(caller)) {
             refuse(passage, caller.left);
             return;
         }
-        const { head } = caller.right.table;
-        passage.headers[VERSION_HEADER] = `${head.partner}:${head.sequence}`;
+        passage.version = caller.right.table.head;
         passage.deadline = caller.right.deadline;
         const received = receiveBody(passage.request, {
             clock,
@@ -139,18 +142,15 @@
     };
 
     return (request: IncomingMessage, response: ServerResponse): void => {
-        const headers: Record<string, string> = {};
-        const callerRequestId = readCallerRequestId(request);
-        if (callerRequestId !== undefined) {
-            headers[REQUEST_ID_HEADER] = callerRequestId;
-        }
-        const passage = {
+        const passage: Passage = {
             request,
             response,
             startedAt: clock.monotonic(),
-            headers,
+            requestId: dialect.readRequestId(request),
             callingService: dependencies.callerAt(request.socket.remoteAddress),
             deadline: Number.POSITIVE_INFINITY,
+            version: undefined,
+            isRetried: false,
         };
         handle(passage).catch((error: unknown) => {
             dependencies.logger.error("A request failed unexpectedly.", { detail: String(error) });
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -20,7 +20,7 @@
 import type { ServeAtGate } from "../gate/gateRequest.js";
 import { discardBody, observeBody, readAnswerHeader, type Answer } from "../http/answer.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
-import { CALLER_HEADER } from "../http/headers.js";
+import { CALLER_HEADER, IDEMPOTENT_HEADER, PRIORITY_HEADER } from "../http/headers.js";
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
 import type { RequestBody } from "../http/requestBody.js";
@@ -99,6 +99,7 @@
             host: request.host,
             body,
             idempotent: request.idempotent,
+            priority: request.priority,
             idempotencyKey: request.idempotencyKey,
             requestId: dependencies.nextAttemptId(),
             deadline,
@@ -115,6 +116,8 @@
             SERVICE_HEADER, formatServiceReference(request.service),
             REQUEST_ID_HEADER, requestId,
             TIMEOUT_HEADER, String(Math.max(0, Math.floor(deadline - clock.monotonic()))),
+            IDEMPOTENT_HEADER, request.idempotent ? "yes" : "no",
+            PRIORITY_HEADER, String(request.priority),
         ];
         if (caller !== undefined) {
             headers.push(CALLER_HEADER, formatServiceReference(caller));
@@ -139,6 +142,8 @@
             takeDispatcher: () => pools.take(target.address, target.gatePort, dependencies.connectionsPerNode),
             renewConnections: () => pools.renew(target.address, target.gatePort),
             nextRequestId: dependencies.nextAttemptId,
+            answerIdHeader: REQUEST_ID_HEADER,
+            answerIdOf: (requestId) => requestId,
             headersOf: headersOf(attempt),
             onSign: progress.heard,
             onSilence: progress.silent,
--- a/packages/oleandergap-node/src/gateway/targetLookup.ts
+++ b/packages/oleandergap-node/src/gateway/targetLookup.ts
@@ -11,6 +11,7 @@
     formatServiceReference,
     type Clock,
     type Milliseconds,
+    type PartnerTable,
     type ServiceReference,
     type ServiceRow,
     type ZoneName,
@@ -26,6 +27,8 @@
 export interface TargetQuery {
     readonly service: ServiceReference;
     readonly row: ServiceRow;
+    /** The table that holds the row. */
+    readonly table: PartnerTable;
     readonly deadline: Milliseconds;
     readonly signal: AbortSignal;
 }
@@ -43,18 +46,20 @@
 const isSameList = (left: readonly TargetMember[], right: readonly TargetMember[]): boolean =>
     left === right || (left.length === right.length && left.every((target, index) => target === right[index]));
 
-/** The zones that a row sends requests to. */
-export const listWeightedZones = (row: ServiceRow): readonly ZoneName[] =>
-    [...row.weights].filter(([, weight]) => weight > 0).map(([zone]) => zone);
+/** The zones that a row sends requests to: those with a weight, or all of the table where targets are chosen by load. */
+export const listServingZones = (table: PartnerTable, row: ServiceRow): readonly ZoneName[] =>
+    row.placement === "load" ?
+        [...table.zones] :
+        [...row.weights].filter(([, weight]) => weight > 0).map(([zone]) => zone);
 
 export const createTargetLookup = ({ clock, directory, firstLookupMs }: TargetLookupDependencies): FindTargets => {
     const services = new Map<string, KnownService>();
     const zonesOfRows = new WeakMap<ServiceRow, readonly ZoneName[]>();
 
-    const zonesOf = (row: ServiceRow): readonly ZoneName[] => {
+    const zonesOf = (table: PartnerTable, row: ServiceRow): readonly ZoneName[] => {
         let zones = zonesOfRows.get(row);
         if (zones === undefined) {
-            zones = listWeightedZones(row);
+            zones = listServingZones(table, row);
             zonesOfRows.set(row, zones);
         }
         return zones;
@@ -70,8 +75,8 @@
         return known;
     };
 
-    const look = ({ service, row }: TargetQuery, known: KnownService): readonly TargetMember[] => {
-        const targets = directory.targetsOf(service, zonesOf(row));
+    const look = ({ service, row, table }: TargetQuery, known: KnownService): readonly TargetMember[] => {
+        const targets = directory.targetsOf(service, zonesOf(table, row));
         if (!isSameList(targets, known.targets)) {
             known.targets = targets;
         }
--- a/packages/oleandergap-node/src/http/exchange.ts
+++ b/packages/oleandergap-node/src/http/exchange.ts
@@ -8,7 +8,7 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import { REQUEST_ID_HEADER, type RequestFailure } from "oleandergap-types";
+import type { RequestFailure } from "oleandergap-types";
 import type { Dispatcher } from "undici";
 import { readAnswerHeader, type Answer, type AnswerHeaders } from "./answer.js";
 import { createReceivedBody, type ReceivedBody } from "./receivedBody.js";
@@ -23,8 +23,10 @@
     /** Names and values in turn, without hop-by-hop headers. */
     readonly headers: string[];
     readonly body: RequestBody;
-    /** Id of this attempt; an answer that carries another one is not delivered. */
-    readonly requestId: string;
+    /** Header of the answer that names the request it belongs to, in lower case. */
+    readonly answerIdHeader: string;
+    /** What that header has to hold; an answer with another id is not delivered. Undefined when any will do. */
+    readonly answerId: string | undefined;
     /** Whether an answer without an id is refused as well. Nodes always send it, targets need not. */
     readonly requireId: boolean;
     /** The rest of a streaming body is sent only after the other side said that it admitted the request. */
@@ -56,9 +58,12 @@
 
 const describeError = (error: Error): string => "code" in error ? `${String(error.code)}: ${error.message}` : error.message;
 
-const isForeignAnswer = (request: ExchangeRequest, headers: AnswerHeaders): boolean => {
-    const id = readAnswerHeader(headers, REQUEST_ID_HEADER);
-    return id === undefined ? request.requireId : id !== request.requestId;
+const isForeignAnswer = (
+    { answerIdHeader, answerId, requireId }: ExchangeRequest,
+    headers: AnswerHeaders,
+): boolean => {
+    const id = readAnswerHeader(headers, answerIdHeader);
+    return id === undefined ? requireId : answerId !== undefined && id !== answerId;
 };
 
 /**
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -24,6 +24,11 @@
 /** Request between nodes: the service that calls, as `partner/service`, when the node of the caller knows it. */
 export const CALLER_HEADER = "oleandergap-caller";
 
+/** Request between nodes: `yes` if the request may run more than once, else `no`. */
+export const IDEMPOTENT_HEADER = "oleandergap-idempotent";
+/** Request between nodes: rank among the requests of the target; 0 goes first. */
+export const PRIORITY_HEADER = "oleandergap-priority";
+
 const NO_OPTIONS: readonly string[] = [];
 
 /** Names that a `Connection` header lists are headers of that connection as well. */
@@ -60,14 +65,23 @@
     return name;
 };
 
-/** The headers of a request that go on to the next hop, names and values in turn. */
-export const selectRequestHeaders = (request: IncomingMessage): string[] => {
+const NO_NAMES: ReadonlySet<string> = new Set();
+
+/**
+ * The headers of a request that go on to the next hop, names and values in turn.
+ *
+ * @param reserved further names that stay behind, in lower case
+ */
+export const selectRequestHeaders = (
+    request: IncomingMessage,
+    reserved: ReadonlySet<string> = NO_NAMES,
+): string[] => {
     const raw = request.rawHeaders;
     const connectionOptions = readConnectionOptions(request.headers.connection);
     const selected: string[] = [];
     for (let index = 0; index + 1 < raw.length; index += 2) {
         const name = nameOnwards(raw[index] ?? "");
-        if (name !== undefined && !connectionOptions.includes(name)) {
+        if (name !== undefined && !connectionOptions.includes(name) && !reserved.has(name)) {
             selected.push(name, raw[index + 1] ?? "");
         }
     }
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -46,6 +46,8 @@
     readonly port: number;
     /** Requests that have been received and not yet answered whole. */
     readonly inFlight: () => number;
+    /** Tells every caller from now on to close its connection after the answer. */
+    readonly announceClose: () => void;
     /**
      * Tells every caller to close its connection after the answer, for `linger` goes on accepting, then closes idle
      * connections, and resolves when all requests are answered or `signal` aborts.
@@ -160,6 +162,9 @@
     return either.right({
         port: readPort(server),
         inFlight: () => inFlight,
+        announceClose: () => {
+            draining = true;
+        },
         drain,
         destroy: () => {
             server.close();
--- a/packages/oleandergap-node/src/http/timeoutHeader.ts
+++ b/packages/oleandergap-node/src/http/timeoutHeader.ts
@@ -9,10 +9,10 @@
 const DIGITS_PATTERN = /^\d{1,9}$/;
 
 /** Reads the header's value; `usual` holds when the caller names no time. */
-export const parseTimeout = (
+export const parseTimeout = <Usual extends Milliseconds | undefined>(
     value: string | undefined,
-    usual: Milliseconds,
-): Either<RequestFailure, Milliseconds> => {
+    usual: Usual,
+): Either<RequestFailure, Milliseconds | Usual> => {
     if (value === undefined) {
         return either.right(usual);
     }
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -31,6 +31,10 @@
     /** The headers, with the id of one try. */
     readonly headersOf: (requestId: string) => string[];
     readonly nextRequestId: () => string;
+    /** See `ExchangeRequest`. */
+    readonly answerIdHeader: string;
+    /** The id that the answer to a try has to carry; undefined when any will do. */
+    readonly answerIdOf: (requestId: string) => string | undefined;
     /** Monotonic time at which the request is given up unless an answer has begun. */
     readonly deadline: Milliseconds;
     readonly signal: AbortSignal;
@@ -102,7 +106,8 @@
         path: request.path,
         headers: request.headersOf(requestId),
         body: request.body,
-        requestId,
+        answerIdHeader: request.answerIdHeader,
+        answerId: request.answerIdOf(requestId),
         requireId: request.requireId,
         awaitAdmission: request.awaitAdmission,
         bodySilenceMs: request.bodySilenceMs,
--- a/packages/oleandergap-node/src/http/writeAnswer.ts
+++ b/packages/oleandergap-node/src/http/writeAnswer.ts
@@ -1,16 +1,14 @@
 /** Writes answers to whoever asked, whole or visibly broken off. */
 import type { ServerResponse } from "node:http";
-import type { RequestFailure } from "oleandergap-types";
 import { selectAnswerHeaders } from "./headers.js";
 import type { Answer } from "./answer.js";
-import { describeFailure, type FailureContext } from "./refusal.js";
+import type { FailureAnswer } from "./refusal.js";
 
 /** Writes a failure at once. When the answer has already begun, breaks it off visibly instead. */
 export const writeFailure = (
     response: ServerResponse,
-    failure: RequestFailure,
+    failure: FailureAnswer,
     extraHeaders: Readonly<Record<string, string>>,
-    context?: FailureContext,
 ): void => {
     if (response.destroyed || response.writableEnded) {
         return;
@@ -19,13 +17,12 @@
         response.destroy();
         return;
     }
-    const described = describeFailure(failure, context);
     if (!response.req.complete) {
         // The rest of the request would be taken for the next one.
         response.setHeader("connection", "close");
     }
-    response.writeHead(described.statusCode, { ...described.headers, ...extraHeaders });
-    response.end(described.body);
+    response.writeHead(failure.statusCode, { ...extraHeaders, ...failure.headers });
+    response.end(failure.body);
 };
 
 /**
--- a/packages/oleandergap-node/src/index.ts
+++ b/packages/oleandergap-node/src/index.ts
@@ -1,4 +1,13 @@
-/** The node daemon, for tests and measurements that run it within their own process. */
+/** The node daemon, for tests, measurements and adapters that run it within their own process. */
+export * from "./adapters.js";
 export * from "./createNode.js";
 export * from "./options.js";
-export { formatListenError, type ListenError } from "./http/listener.js";
+export * from "./runUntilSignal.js";
+export type { Readiness } from "./admin/readiness.js";
+export { readJson } from "./admin/readJson.js";
+export { readAnswerHeader, type AnswerHeaders } from "./http/answer.js";
+export type { AnswerNotes, CallerDialect, Dialects, TargetDialect, TargetRequest } from "./http/dialect.js";
+export { readHeaderPair, readRequestHeader } from "./http/headers.js";
+export { formatListenError, type HandleRequest, type ListenError } from "./http/listener.js";
+export { HTTP_STATUS, reasonOfFailure, type FailureAnswer, type FailureContext } from "./http/refusal.js";
+export type { TargetKeeper } from "./target/targetKeeper.js";
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -1,7 +1,8 @@
-/** The four HTTP servers of a node. */
+/** The HTTP servers of a node: its own four, and those that its surroundings add. */
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import type { Clock } from "oleandergap-types";
+import type { ListenerPlan } from "./adapters.js";
 import { startListener, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
 
@@ -17,12 +18,14 @@
     readonly gate: Listener;
     readonly control: Listener;
     readonly admin: Listener;
+    readonly further: readonly Listener[];
 }
 
 export interface NodeListenersDependencies {
     readonly options: Pick<NodeOptions, "listen" | "requests">;
     readonly clock: Clock;
     readonly handlers: NodeHandlers;
+    readonly furtherListeners: readonly ListenerPlan[];
 }
 
 export const destroyListeners = (listeners: NodeListeners): void => {
@@ -30,30 +33,27 @@
     listeners.gate.destroy();
     listeners.control.destroy();
     listeners.admin.destroy();
+    listeners.further.forEach((listener) => listener.destroy());
 };
 
 /** All of them listen, or none: whatever was started is closed again when one fails. */
 export const startNodeListeners = (
-    { options, clock, handlers }: NodeListenersDependencies,
+    { options, clock, handlers, furtherListeners }: NodeListenersDependencies,
 ): TaskEither<ListenError, NodeListeners> => async () => {
     const { listen, requests } = options;
     const started: Listener[] = [];
 
-    const start = async (name: keyof NodeHandlers, port: number): Promise<either.Either<ListenError, Listener>> => {
-        const listener = await startListener({
-            name,
-            address: listen.address,
-            port,
-            maxConnections: requests.maxConnections,
-            clock,
-            handle: handlers[name],
-        })();
+    const startPlanned = async (plan: ListenerPlan): Promise<either.Either<ListenError, Listener>> => {
+        const listener = await startListener({ ...plan, maxConnections: requests.maxConnections, clock })();
         if (either.isRight(listener)) {
             started.push(listener.right);
         }
         return listener;
     };
 
+    const start = (name: keyof NodeHandlers, port: number): Promise<either.Either<ListenError, Listener>> =>
+        startPlanned({ name, address: listen.address, port, handle: handlers[name] });
+
     const closeStarted = (error: ListenError): either.Either<ListenError, never> => {
         started.forEach((listener) => listener.destroy());
         return either.left(error);
@@ -75,7 +75,16 @@
     if (either.isLeft(gateway)) {
         return closeStarted(gateway.left);
     }
+    const further: Listener[] = [];
+    for (const plan of furtherListeners) {
+        const listener = await startPlanned(plan);
+        if (either.isLeft(listener)) {
+            return closeStarted(listener.left);
+        }
+        further.push(listener.right);
+    }
     return either.right({
+        further,
         gateway: gateway.right,
         gate: gate.right,
         control: control.right,
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -4,7 +4,8 @@
  * Start: listen, join, recover the configuration, ready. Until it is ready it refuses callers with `NotReady`, so that
  * no request is ever served by an older version than the fleet's.
  *
- * Stop: tell the other nodes, refuse what is new, finish what is in flight, close. A request that the own target still
+ * Stop: tell the other nodes, serve callers until they have been sent elsewhere, refuse what is new, finish what is in
+ * flight, close. A request that the own target still
  * works on may call other services through this node's gateway; the gateway therefore stays open, for the target only,
  * until the gate is empty.
  */
@@ -17,6 +18,7 @@
 import type { ControlPlane } from "./createControlPlane.js";
 import type { RequestPath } from "./createRequestPath.js";
 import type { ListenError } from "./http/listener.js";
+import type { ListenerPlan } from "./adapters.js";
 import { destroyListeners, startNodeListeners, type NodeHandlers, type NodeListeners } from "./listeners.js";
 import type { NodeOptions } from "./options.js";
 
@@ -28,6 +30,7 @@
     readonly controlPlane: ControlPlane;
     readonly requestPath: RequestPath;
     readonly handlers: NodeHandlers;
+    readonly furtherListeners: readonly ListenerPlan[];
     /** Called when the configuration is recovered. */
     readonly onRecovered: () => void;
     /** Ends everything at once when it aborts. */
@@ -109,10 +112,16 @@
     const limit = startTimeLimit(clock, options.stop.drainTimeoutMs, signal);
     const drainSignal = limit.signal;
     readiness.draining = true;
+    listeners.gateway.announceClose();
+    const stopAccepting = async (): Promise<void> => {
+        await clock.sleep(options.stop.acceptMs, drainSignal);
+        readiness.refusing = true;
+        await clock.sleep(options.stop.lingerMs, drainSignal);
+    };
     await Promise.all([
         controlPlane.membership.leave(),
         waitForGate(dependencies, drainSignal),
-        clock.sleep(options.stop.lingerMs, drainSignal),
+        stopAccepting(),
     ]);
     await Promise.all([listeners.gateway.drain(0, drainSignal), listeners.gate.drain(0, drainSignal)]);
     await requestPath.claims.leave(drainSignal);
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -55,9 +55,13 @@
 const targetSchema = z.strictObject({
     /** A target that has not repeated its announcement for this time is gone. */
     heartbeatTimeoutMs: z.number().int().min(500).max(60_000).default(3000),
+    /** Requests that still wait this long after their target began to leave are refused. */
+    leavingQueueMs: z.number().int().min(0).max(60_000).default(1000),
 });
 
 const stopSchema = z.strictObject({
+    /** A stopping node that says on /readyz that it leaves still serves callers for this time. */
+    acceptMs: z.number().int().min(0).max(60_000).default(0),
     /** Time in which other nodes and callers learn that this node leaves; it still answers, with refusals. */
     lingerMs: z.number().int().min(0).max(60_000).default(1000),
     /** Requests that are still in flight after this time are cut off. */
--- a/packages/oleandergap-node/src/runUntilSignal.ts
+++ b/packages/oleandergap-node/src/runUntilSignal.ts
@@ -2,6 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
 import type { Clock } from "oleandergap-types";
+import { ownAdapters, type NodeAdapters } from "./adapters.js";
 import { createNode } from "./createNode.js";
 import { formatListenError } from "./http/listener.js";
 import { watchFleetKeys, type FleetKeySource } from "./control/fleetKeyFile.js";
@@ -13,6 +14,7 @@
     readonly logger: Logger;
     /** Undefined when the settings name no file with keys. */
     readonly fleetKeys: FleetKeySource | undefined;
+    readonly adapters?: NodeAdapters;
 }
 
 const WARNING_WITHOUT_KEY =
@@ -29,7 +31,7 @@
 
 /** Resolves when the node has stopped; with a message when it could not start. */
 export const runUntilSignal = async (
-    { options, clock, logger, fleetKeys }: RunDependencies,
+    { options, clock, logger, fleetKeys, adapters = ownAdapters }: RunDependencies,
 ): Promise<string | undefined> => {
     const life = new AbortController();
     const stopRequested = new AbortController();
@@ -44,13 +46,16 @@
         stopRequested.abort();
     });
 
+    // Without a handler the signal would end the process. The settings in use stay as they are until a restart.
+    process.on("SIGHUP", () => logger.info("The settings file may have changed; a restart takes it into use."));
+
     if (fleetKeys === undefined) {
         logger.warn(WARNING_WITHOUT_KEY);
     }
     const { signal } = life;
     const { keyReloadMs } = options.cluster;
     const readKeys = fleetKeys && watchFleetKeys({ source: fleetKeys, reloadMs: keyReloadMs, clock, logger, signal });
-    const node = createNode({ options, clock, readKeys, signal });
+    const node = createNode({ options, clock, readKeys, adapters, signal });
     const started = await node.start()();
     if (either.isLeft(started)) {
         life.abort();
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -5,7 +5,7 @@
  * would go on sending requests to a VM without a target, and one would see failed connections until they give it up.
  */
 import type { Gate } from "oleandergap-gate";
-import type { Logger } from "oleandergap-logger";
+import type { LogContext, Logger } from "oleandergap-logger";
 import type {
     Announcement,
     CancelTimer,
@@ -15,6 +15,7 @@
     Milliseconds,
     ServiceReference,
 } from "oleandergap-types";
+import { createLifetimes } from "./lifetimes.js";
 
 /** The target together with the gate in front of it. */
 export interface LocalTarget {
@@ -35,13 +36,17 @@
     readonly createGate: (limit: Limit, slots: number) => Gate;
     /** A target that stays away for so long is gone. */
     readonly heartbeatTimeoutMs: Milliseconds;
+    /** Requests that still wait this long after their target began to leave are refused. */
+    readonly leavingQueueMs: Milliseconds;
+    /** Time over which other nodes raise the share of a new target; see `PickerOptions`. */
+    readonly slowStartMs: Milliseconds;
 }
 
 export interface TargetKeeper {
     /** Takes an announcement or its repetition. */
     readonly announce: (announcement: Announcement) => void;
-    /** The target is gone. */
-    readonly withdraw: () => void;
+    /** The target is gone; with `instanceId`, only if it is that lifetime of it. */
+    readonly withdraw: (instanceId?: string) => void;
     readonly current: () => LocalTarget | undefined;
     /** Takes changed limits of the table into force. */
     readonly refreshLimit: () => void;
@@ -54,17 +59,22 @@
 /** Limits of a service without a row: no request is let through. */
 const CLOSED_LIMIT: Limit = { concurrency: 1, queue: 0, timeoutMs: 1, retryRatio: 0 };
 
+const describeTarget = ({ partner, service, port, instanceId }: Announcement): LogContext =>
+    ({ service: `${partner}/${service}`, port, instance: instanceId });
+
 const isSameTarget = (left: Announcement, right: Announcement): boolean =>
     left.partner === right.partner &&
     left.service === right.service &&
     left.address === right.address &&
-    left.port === right.port;
+    left.port === right.port &&
+    left.instanceId === right.instanceId;
 
 export const createTargetKeeper = (dependencies: TargetKeeperDependencies): TargetKeeper => {
     const { clock, logger, heartbeatTimeoutMs } = dependencies;
     let target: LocalTarget | undefined;
     let cancelExpiry: CancelTimer = () => undefined;
     let stopping = false;
+    const lifetimes = createLifetimes();
 
     const publish = (): void => {
         dependencies.publish(target === undefined ? undefined : {
@@ -86,20 +96,38 @@
     const startLeaving = (local: LocalTarget): void => {
         target = { ...local, leaving: true };
         publish();
-        logger.info("The target leaves.", { service: local.announcement.service });
-        void local.gate.drain();
+        logger.info("The target leaves.", { ...describeTarget(local.announcement) });
+        closeGate(local.gate);
     };
 
-    const withdraw = (): void => {
+    /**
+     * What runs finishes. What waits has a short time to start: a target may be gone soon after it said so, and a
+     * request that it received in its last moments would be lost.
+     */
+    const closeGate = (gate: Gate): void => {
+        void gate.drain();
+        clock.after(dependencies.leavingQueueMs, gate.refuseWaiting);
+    };
+
+    const removeTarget = (): void => {
         cancelExpiry();
         if (target !== undefined) {
-            logger.info("The target is gone.", { service: target.announcement.service });
-            void target.gate.drain();
+            logger.info("The target is gone.", { ...describeTarget(target.announcement) });
+            closeGate(target.gate);
             target = undefined;
             publish();
         }
     };
 
+    const withdraw: TargetKeeper["withdraw"] = (instanceId) => {
+        if (instanceId !== undefined) {
+            lifetimes.end(instanceId);
+        }
+        if (instanceId === undefined || target?.announcement.instanceId === instanceId) {
+            removeTarget();
+        }
+    };
+
     /**
      * When this process itself was frozen, the timer fires before the heartbeats that have piled up are read. A late
      * timer is therefore no proof; the target gets as much time again.
@@ -113,20 +141,24 @@
                 armExpiry();
             }
             else {
-                withdraw();
+                removeTarget();
             }
         });
     };
 
+    /**
+     * A node that restarts meets a target that has long been warm. Taken for new, it would get the small share of a
+     * cold one for the whole slow start, and the others its load.
+     */
+    const estimateStart = ({ coldLeftMs }: Announcement): Milliseconds =>
+        clock.now() - (coldLeftMs === undefined ? 0 : Math.max(0, dependencies.slowStartMs - coldLeftMs));
+
     const install = (announcement: Announcement): void => {
         const gate = dependencies.createGate(CLOSED_LIMIT, 0);
-        target = { announcement, gate, since: clock.now(), leaving: false };
+        target = { announcement, gate, since: estimateStart(announcement), leaving: false };
         applyLimit(target);
         publish();
-        logger.info("A target announced itself.", {
-            service: `${announcement.partner}/${announcement.service}`,
-            port: announcement.port,
-        });
+        logger.info("A target announced itself.", { ...describeTarget(announcement) });
     };
 
     const update = (local: LocalTarget, announcement: Announcement): void => {
@@ -143,7 +175,7 @@
     };
 
     const announce = (announcement: Announcement): void => {
-        if (stopping) {
+        if (stopping || !lifetimes.accept(announcement)) {
             return;
         }
         armExpiry();
@@ -152,7 +184,7 @@
             return;
         }
         if (target !== undefined) {
-            withdraw();
+            removeTarget();
             armExpiry();
         }
         install(announcement);
--- a/packages/oleandergap-platform/src/classifyExchange.ts
+++ b/packages/oleandergap-platform/src/classifyExchange.ts
@@ -18,7 +18,19 @@
 const STATUS_SERVER_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
-const SUCCESS_STATUSES: ReadonlySet<number> = new Set([200, 204, STATUS_NOT_FOUND]);
+/** The history that was asked for is no longer kept. */
+const STATUS_GONE = 410;
+/** A condition did not hold, and nothing was written. */
+const STATUS_CONDITION_FAILED = 412;
+
+/** Statuses that answer the question, be it by a no. */
+const SUCCESS_STATUSES: ReadonlySet<number> = new Set([
+    200,
+    204,
+    STATUS_NOT_FOUND,
+    STATUS_GONE,
+    STATUS_CONDITION_FAILED,
+]);
 
 const isRefusal = (status: number): boolean =>
     status === STATUS_UNAVAILABLE || (status >= STATUS_BAD_REQUEST && status < STATUS_SERVER_ERROR);
--- a/packages/oleandergap-routing/src/__tests__/pickerHarness.ts
+++ b/packages/oleandergap-routing/src/__tests__/pickerHarness.ts
@@ -21,6 +21,7 @@
     limitName: "filing",
     limit: { concurrency: 100, queue: 10, timeoutMs: 1000, retryRatio },
     idempotency: "optional",
+    placement: "weights",
 });
 
 export const createTargets = (zone: ZoneName, count: number, since = 0): readonly RoutableTarget[] =>
--- a/packages/oleandergap-routing/src/attemptHistory.ts
+++ b/packages/oleandergap-routing/src/attemptHistory.ts
@@ -8,6 +8,8 @@
 export interface AttemptHistory {
     readonly tried: readonly NodeId[];
     readonly shortages: () => number;
+    /** Targets that received the request: they ran it, may have run it, or refused it themselves. */
+    readonly targetsReached: () => number;
     /** The zone that last refused for want of capacity. */
     readonly shortZone: () => ZoneName | undefined;
     readonly lastFailure: () => RequestFailure | undefined;
@@ -21,10 +23,14 @@
 const withRetryAfter = (failure: RequestFailure, retryAfterMs: Milliseconds): RequestFailure =>
     failure.kind === "Refused" ? { ...failure, retryAfterMs } : failure;
 
+const hasReachedTarget = (failure: RequestFailure): boolean =>
+    failure.verdict !== "notRun" || (failure.kind === "Refused" && failure.reason === "TargetBusy");
+
 /** Starts before the first attempt. */
 export const createAttemptHistory = (): AttemptHistory => {
     const tried: NodeId[] = [];
     let shortages = 0;
+    let targetsReached = 0;
     let shortZone: ZoneName | undefined;
     let lastFailure: RequestFailure | undefined;
     /** The first failure after which the request may have run. */
@@ -57,6 +63,7 @@
     return {
         tried,
         shortages: () => shortages,
+        targetsReached: () => targetsReached,
         shortZone: () => shortZone,
         lastFailure: () => lastFailure,
         addAttempt: (target) => {
@@ -66,6 +73,7 @@
             lastFailure = failure;
             wasRetriedBelow ||= retriedBelow;
             noteRetryAfter(failure);
+            targetsReached += hasReachedTarget(failure) ? 1 : 0;
             if (failure.verdict === "mayHaveRun") {
                 possibleRun ??= failure;
             }
--- a/packages/oleandergap-routing/src/learnOutcome.ts
+++ b/packages/oleandergap-routing/src/learnOutcome.ts
@@ -38,7 +38,7 @@
 /** Whether a refusal says that the target, and likely its zone, has no room. */
 export const isShortage = (reason: RefusalReason): boolean =>
     reason === "QueueFull" || reason === "LimitReached" || reason === "DeadlineTooShort" ||
-    reason === "FairShareExceeded" || reason === "DeadlinePassed";
+    reason === "FairShareExceeded" || reason === "DeadlinePassed" || reason === "TargetBusy";
 
 /** A deadline shorter than the service time is refused by a gate with free slots as well; that is no shortage. */
 const hasFreeSlots = (load: GateLoad | undefined): boolean => load !== undefined && load.inFlight < load.capacity;
--- a/packages/oleandergap-routing/src/measure/decisionCost.ts
+++ b/packages/oleandergap-routing/src/measure/decisionCost.ts
@@ -65,6 +65,7 @@
         limitName: "measured",
         limit: basePlan.limit,
         idempotency: "optional",
+        placement: "weights",
     };
     const targets = createTargets(count);
     const load = { inFlight: 3, queued: 0, capacity: 12, expectedWaitMs: 0 };
--- a/packages/oleandergap-routing/src/measure/ourService.ts
+++ b/packages/oleandergap-routing/src/measure/ourService.ts
@@ -51,6 +51,7 @@
     limitName: "measured",
     limit: plan.limit,
     idempotency: "optional",
+    placement: "weights",
 });
 
 const lost: RequestFailure = { kind: "AnswerLost", verdict: "mayHaveRun", detail: "deadline passed" };
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -16,6 +16,8 @@
     readonly deadline: Milliseconds;
     /** False when a hop above asks that nobody below retries. */
     readonly retriesAllowed: boolean;
+    /** Most targets that the request may reach; undefined when the settings alone bound it. */
+    readonly maximumTargets?: number | undefined;
     /** Aborts when the caller hangs up. */
     readonly signal: AbortSignal;
 }
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -127,6 +127,7 @@
         retriesAllowed: execution.retriesAllowed && !history.wasRetriedBelow() && execution.row.limit.retryRatio > 0,
         attempts: history.tried.length,
         maximumAttempts: options.maximumAttempts,
+        hasTargetsLeft: history.targetsReached() < (execution.maximumTargets ?? Number.POSITIVE_INFINITY),
         shortages: history.shortages(),
         budget,
     });
--- a/packages/oleandergap-routing/src/retryDecision.ts
+++ b/packages/oleandergap-routing/src/retryDecision.ts
@@ -15,6 +15,8 @@
     readonly retriesAllowed: boolean;
     readonly attempts: number;
     readonly maximumAttempts: number;
+    /** Whether the route lets the request reach another target. */
+    readonly hasTargetsLeft: boolean;
     /** Attempts of this request that were refused for want of capacity. */
     readonly shortages: number;
     readonly budget: RetryBudget;
@@ -60,8 +62,9 @@
 
 /** Takes a token from the budget when it answers true. */
 export const mayRetry = (question: RetryQuestion): boolean => {
-    const { failure, retriesAllowed, attempts, maximumAttempts, shortages, budget } = question;
-    if (!retriesAllowed || attempts >= maximumAttempts || shortages >= REFUSALS_OF_OVERLOAD) {
+    const { failure, retriesAllowed, attempts, maximumAttempts, hasTargetsLeft, shortages, budget } = question;
+    const mayGoOn = retriesAllowed && hasTargetsLeft && attempts < maximumAttempts;
+    if (!mayGoOn || shortages >= REFUSALS_OF_OVERLOAD) {
         return false;
     }
     return !isFinal(failure) && isSafe(question) && budget.tryWithdraw(costOf(failure));
--- a/packages/oleandergap-routing/src/serviceState.ts
+++ b/packages/oleandergap-routing/src/serviceState.ts
@@ -50,12 +50,20 @@
     return states;
 };
 
-const groupByZone = <Target extends RoutableTarget>(
+/**
+ * Stands for all availability zones where targets are chosen by load alone. Within one group the less loaded target
+ * wins wherever it stands; split by zone, a zone with one target of a service would get as much as one with three.
+ */
+const ALL_ZONES: ZoneName = "";
+
+const groupStates = <Target extends RoutableTarget>(
     states: Iterable<TargetState<Target>>,
+    { placement }: ServiceRow,
 ): Map<ZoneName, TargetState<Target>[]> => {
     const groups = new Map<ZoneName, TargetState<Target>[]>();
     for (const state of states) {
-        const { zone, leaving } = state.target;
+        const { leaving } = state.target;
+        const zone = placement === "load" ? ALL_ZONES : state.target.zone;
         if (!leaving) {
             const group = groups.get(zone) ?? [];
             group.push(state);
@@ -99,12 +107,13 @@
     }
     service.row = row;
     service.states = collectStates(service.states, targets, context.clock);
-    const shares = planZoneShares(row.weights, context.ownZone, context.callerSpread);
+    const weights: ServiceRow["weights"] = row.placement === "load" ? new Map([[ALL_ZONES, 1]]) : row.weights;
+    const shares = planZoneShares(weights, context.ownZone, context.callerSpread);
     const zones: ZoneState<Target>[] = [];
-    for (const [name, states] of groupByZone(service.states.values())) {
+    for (const [name, states] of groupStates(service.states.values(), row)) {
         const zone = zoneOf(service, name, context);
         zone.candidates = createCandidates(name, states);
-        zone.weight = row.weights.get(name) ?? 0;
+        zone.weight = weights.get(name) ?? 0;
         zone.share = shares.get(name) ?? 0;
         if (zone.weight > 0) {
             zones.push(zone);
--- a/packages/oleandergap-types/src/member.ts
+++ b/packages/oleandergap-types/src/member.ts
@@ -19,6 +19,12 @@
     connections: z.number().int().min(1).max(100_000),
     /** The target will stop soon: it receives no new request. */
     leaving: z.boolean().default(false),
+    /** Names one lifetime of the target's process; a target that restarts has another one. */
+    instanceId: z.string().min(1).max(128).optional(),
+    /** Grows with each announcement of one lifetime; an older one that arrives late is dropped. */
+    sequence: z.number().int().nonnegative().optional(),
+    /** How long a target that has just started stays slow; absent when it does not say. */
+    coldLeftMs: z.number().min(0).max(3_600_000).optional(),
 });
 export type Announcement = z.infer<typeof announcementSchema>;
 
--- a/packages/oleandergap-types/src/table.ts
+++ b/packages/oleandergap-types/src/table.ts
@@ -94,6 +94,15 @@
 /** Largest weight of an availability zone. */
 export const MAX_WEIGHT = 1000;
 
+/**
+ * How the requests of a service are spread over the availability zones.
+ *
+ * - `weights`: by the row's weights.
+ * - `load`: to whichever target is expected to answer first, wherever it stands; weights are not used.
+ */
+export const placementSchema = z.enum(["weights", "load"]);
+export type Placement = z.infer<typeof placementSchema>;
+
 /** A row of the table, checked and resolved. */
 export interface ServiceRow {
     readonly service: ServiceName;
@@ -103,6 +112,50 @@
     /** The limits that `limitName` names; resolved when the version is checked, so it can never be missing. */
     readonly limit: Limit;
     readonly idempotency: IdempotencyRule;
+    readonly placement: Placement;
+}
+
+/**
+ * What may be repeated of a route's requests.
+ *
+ * - `safe`: may run more than once.
+ * - `nonIdempotent`: runs once at most.
+ * - `upload`: as `nonIdempotent`, with a large body that is streamed.
+ */
+export const routeKindSchema = z.enum(["safe", "nonIdempotent", "upload"]);
+export type RouteKind = z.infer<typeof routeKindSchema>;
+
+/** Longest prefix of a path that a route may name, in characters. */
+export const MAX_PREFIX_LENGTH = 200;
+
+/** The single cells of a route; its services are cells of their own. */
+export const routeCellsSchema = z.object({
+    /** Host that callers name, in lower case and without a port. */
+    host: z.string().max(MAX_CELL_TEXT_LENGTH).regex(/^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$/, "use a host name in lower case"),
+    prefix: z.string().max(MAX_PREFIX_LENGTH).regex(/^\/([^?#\s]*\/)?$/, "begin and end the prefix with a slash"),
+    kind: routeKindSchema,
+    /** Most targets that one request may be sent to. */
+    maxAttempts: z.number().int().min(1).max(100),
+    /** Longest time that a caller is kept waiting, in milliseconds. */
+    timeoutMs: z.number().int().min(1).max(600_000),
+    /** Time within which an answer is worth most to its caller, in milliseconds. */
+    targetLatencyMs: z.number().int().min(1).max(600_000),
+    /** Rank among the requests of one service; 0 goes first. */
+    priority: z.number().int().min(0).max(1000),
+});
+
+/** One of the services that a route's requests are divided among. */
+export interface RouteShare {
+    readonly service: ServiceName;
+    /** Relative to the other shares of the route; at least 1. */
+    readonly weight: number;
+}
+
+/** Sends the requests of a host whose paths begin with a prefix to one service, or divides them among several. */
+export interface Route extends Readonly<z.infer<typeof routeCellsSchema>> {
+    readonly name: string;
+    /** Never empty; each service has a row in the same version. */
+    readonly shares: readonly RouteShare[];
 }
 
 /** The typed view of one version of a partner's document. Immutable; a request keeps the one that it started on. */
@@ -110,6 +163,7 @@
     readonly head: Head;
     readonly services: ReadonlyMap<ServiceName, ServiceRow>;
     readonly zones: ReadonlySet<ZoneName>;
+    readonly routes: ReadonlyMap<string, Route>;
 }
 
 /** The tables in force at a node, by partner. */
--- a/packages/oleandergap-types/src/verdict.ts
+++ b/packages/oleandergap-types/src/verdict.ts
@@ -44,6 +44,7 @@
     "DeadlinePassed",
     "FairShareExceeded",
     "LimitReached",
+    "TargetBusy",
     "Draining",
     "NotReady",
     "ClaimUnavailable",
