Distribution: do not charge the read budget for documents that come with their heads

Ruled out: a lost feed (other nodes of the same site followed it in time, and the node's log shows no failed read).

--- a/packages/oleandergap-configuration/src/platform/configurationSource.ts
+++ b/packages/oleandergap-configuration/src/platform/configurationSource.ts
@@ -38,6 +38,11 @@
 
 /** Accepted versions as the platform holds them. No call writes. */
 export interface ConfigurationSource {
+    /**
+     * Whether reading the heads brings the documents as well, so that `readDocument` makes no call after it and there
+     * are no deltas. Reads of such documents are not counted against the budget of platform reads.
+     */
+    readonly holdsDocuments?: boolean;
     /** One read for all partners. A partner whose row cannot be read is left out and does not hold up the others. */
     readonly readHeads: (
         partners: readonly PartnerName[],
--- a/packages/oleandergap-distribution/src/ports.ts
+++ b/packages/oleandergap-distribution/src/ports.ts
@@ -95,4 +95,4 @@
 }
 
 /** Reads accepted versions from the platform; see `ConfigurationSource` for what each call costs. */
-export type ConfigurationSourcePort = Pick<ConfigurationSource, "readHeads" | "readDeltas" | "readDocument">;
+export type ConfigurationSourcePort = Pick<ConfigurationSource, "readHeads" | "readDeltas" | "readDocument" | "holdsDocuments">;
--- a/packages/oleandergap-distribution/src/versionFetcher.ts
+++ b/packages/oleandergap-distribution/src/versionFetcher.ts
@@ -19,7 +19,7 @@
 export interface VersionFetcherDependencies {
     readonly store: ConfigurationStorePort;
     readonly peers: Pick<PeerPort, "deltasSince" | "document">;
-    readonly source: Pick<ConfigurationSourcePort, "readDeltas" | "readDocument">;
+    readonly source: Pick<ConfigurationSourcePort, "readDeltas" | "readDocument" | "holdsDocuments">;
     readonly budget: ReadBudget;
     readonly counters: SpreadCounters;
 }
@@ -93,7 +93,9 @@
     };
 
     const fetchPlatformDocument = async (partner: PartnerName, bound: CallBound): Promise<FetchResult> => {
-        if (!takeReads(READS_PER_DOCUMENT)) {
+        // Charged for reads that are not made, a node would run out of budget in a quick run of changes, and one would
+        // see it stay at an old version until the run is over.
+        if (source.holdsDocuments !== true && !takeReads(READS_PER_DOCUMENT)) {
             return either.left({ kind: "OverBudget" });
         }
         counters.documentPulls += 1;
@@ -104,7 +106,7 @@
     };
 
     const fetchFromPlatform = async (partner: PartnerName, bound: CallBound): Promise<FetchResult> => {
-        if (sequenceOf(partner) === 0) {
+        if (sequenceOf(partner) === 0 || source.holdsDocuments === true) {
             return fetchPlatformDocument(partner, bound);
         }
         if (!takeReads(1)) {
