--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/lib/**", "**/node_modules/**"] },
+    { ignores: ["**/lib/**", "**/node_modules/**", "target/**"] },
     {
         files: ["packages/**/*.ts", "platform/**/*.ts"],
         extends: [eslint.configs.recommended, ...tseslint.configs.recommendedTypeChecked],
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -28,7 +28,7 @@
 };
 
 export default [
-    { ignores: ["**/lib/**", "**/node_modules/**"] },
+    { ignores: ["**/lib/**", "**/node_modules/**", "target/**"] },
     {
         files: ["**/*.ts", "**/*.js", "**/*.mjs"],
         languageOptions: { parser: tseslint.parser },
--- /dev/null
+++ b/packages/oleandergap-configuration/src/__tests__/routes.test.ts
@@ -0,0 +1,97 @@
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import type { Cells } from "oleandergap-types";
+import { getNextTable, getTable } from "../table/knownTables.js";
+import { parseTable } from "../table/parseTable.js";
+import type { TableProblem } from "../table/tableProblem.js";
+import { applyDeltas, createNextVersion } from "../version/delta.js";
+import { createDocument } from "../version/document.js";
+import { applyChanges, startCells } from "./support.js";
+
+const routeCells = (name: string, prefix: string, services: Readonly<Record<string, number>>): Cells => ({
+    [`routes/${name}/host`]: "desk.example",
+    [`routes/${name}/prefix`]: prefix,
+    [`routes/${name}/kind`]: "safe",
+    [`routes/${name}/maxAttempts`]: 2,
+    [`routes/${name}/timeoutMs`]: 1000,
+    [`routes/${name}/targetLatencyMs`]: 300,
+    [`routes/${name}/priority`]: 1,
+    ...Object.fromEntries(Object.entries(services).map(([service, weight]) =>
+        [`routes/${name}/services/${service}`, weight])),
+});
+
+const withRoutes: Cells = {
+    ...startCells,
+    "services/desk/placement": "load",
+    ...routeCells("reads", "/reads/", { desk: 90, vault: 10 }),
+};
+
+const problemsOf = (cells: Cells): readonly TableProblem[] => {
+    const result = parseTable(createDocument("halloway", 1, cells));
+    return either.isLeft(result) ? result.left : [];
+};
+
+describe("parseTable with routes", () => {
+    it("resolves a route with its shares", () => {
+        const table = parseTable(createDocument("halloway", 1, withRoutes));
+        expect(either.isRight(table) && table.right.routes.get("reads")).to.deep.equal({
+            name: "reads",
+            host: "desk.example",
+            prefix: "/reads/",
+            kind: "safe",
+            maxAttempts: 2,
+            timeoutMs: 1000,
+            targetLatencyMs: 300,
+            priority: 1,
+            shares: [{ service: "desk", weight: 90 }, { service: "vault", weight: 10 }],
+        });
+        expect(either.isRight(table) && table.right.services.get("desk")?.placement).to.equal("load");
+        expect(either.isRight(table) && table.right.services.get("vault")?.placement).to.equal("weights");
+    });
+
+    it("names what is wrong with a route by its cell", () => {
+        const broken = applyChanges({ ...withRoutes, ...routeCells("again", "/reads/", { nowhere: 1 }) }, [
+            { cell: "routes/reads/kind", after: "sometimes" },
+            { cell: "routes/reads/timeoutMs" },
+            { cell: "routes/reads/services/vault", after: 0 },
+            { cell: "routes/again/colour", after: "red" },
+        ]);
+        expect(problemsOf(broken).map(({ kind }) => kind)).to.have.members([
+            "BadValue", "MissingCell", "BadValue", "UnknownCell", "UnknownService",
+        ]);
+    });
+
+    it("refuses prefixes that do not begin and end with a slash", () => {
+        for (const prefix of ["reads/", "/reads", "", "/re ads/", "/reads?/"]) {
+            expect(problemsOf({ ...withRoutes, "routes/reads/prefix": prefix }), prefix).to.have.length(1);
+        }
+        expect(problemsOf({ ...withRoutes, "routes/reads/prefix": "/" })).to.have.length(0);
+    });
+
+    it("refuses a route without a service, and two routes of one host and prefix", () => {
+        const unserved = applyChanges(withRoutes, [
+            { cell: "routes/reads/services/desk" },
+            { cell: "routes/reads/services/vault" },
+        ]);
+        expect(problemsOf(unserved)).to.deep.equal([{ kind: "NoService", cell: "routes/reads" }]);
+        const doubled = { ...withRoutes, ...routeCells("again", "/reads/", { desk: 1 }) };
+        expect(problemsOf(doubled).map(({ kind }) => kind)).to.deep.equal(["DoubledRoute"]);
+    });
+
+    it("refuses a step that takes a service away from under a route", () => {
+        // Symptom: requests of a route find no service, although the table was checked.
+        // Sequence: a change empties the cells of a service that a route still names.
+        // Cause: only the rows that changed are checked, and the route did not change.
+        const base = createDocument("halloway", 1, withRoutes);
+        expect(either.isRight(getTable(base))).to.equal(true);
+        const changes = [
+            { cell: "services/vault/limit", before: "large" },
+            { cell: "services/vault/weights/west", before: 7 },
+        ];
+        const { delta } = createNextVersion(base, changes);
+        const next = applyDeltas(base, [delta]);
+        const table = either.isRight(next) ? getNextTable(base, next.right, changes) : undefined;
+        expect(table !== undefined && either.isLeft(table) && table.left.map(({ kind }) => kind))
+            .to.deep.equal(["UnknownService"]);
+    });
+});
--- a/packages/oleandergap-distribution/src/__tests__/inMemoryPlatform.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryPlatform.ts
@@ -20,6 +20,8 @@
     readonly accept: (partner: PartnerName, changes: Readonly<Record<string, CellValue>>, digest?: string) => Delta;
     readonly head: (partner: PartnerName) => Head;
     readonly setOutage: (isOut: boolean) => void;
+    /** Makes sources that bring the documents with the heads and have no deltas. */
+    readonly holdDocuments: () => void;
     /** Times of all reads that arrived, in milliseconds of the clock. */
     readonly readTimes: readonly number[];
     readonly document: (partner: PartnerName) => PartnerDocument;
@@ -30,6 +32,7 @@
     const deltas = new Map<PartnerName, readonly Delta[]>();
     const readTimes: number[] = [];
     let isOut = false;
+    let holdsDocuments = false;
 
     const documentOf = (partner: PartnerName): PartnerDocument =>
         documents.get(partner) ?? createTestDocument(partner, 0, {});
@@ -49,6 +52,9 @@
         readTimes,
         head: (partner) => toHead(documentOf(partner)),
         document: documentOf,
+        holdDocuments: () => {
+            holdsDocuments = true;
+        },
         setOutage: (value) => {
             isOut = value;
         },
@@ -69,9 +75,13 @@
             return delta;
         },
         createSource: (isReachable) => ({
+            get holdsDocuments() {
+                return holdsDocuments;
+            },
             readHeads: (asked) => read(isReachable, () => asked.map((partner) => toHead(documentOf(partner)))),
             readDeltas: (partner, after) =>
-                read(isReachable, () => (deltas.get(partner) ?? []).filter((delta) => delta.sequence > after)),
+                read(isReachable, () =>
+                    holdsDocuments ? [] : (deltas.get(partner) ?? []).filter((delta) => delta.sequence > after)),
             readDocument: (partner) => read(isReachable, () => documentOf(partner)),
         }),
     };
--- a/packages/oleandergap-distribution/src/__tests__/spreadFailures.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/spreadFailures.test.ts
@@ -118,4 +118,26 @@
             fleet.stop();
         }
     });
+
+    it("follows a quick run of changes that come as whole documents", async () => {
+        // Symptom: during a run of changes, a node stays at an old version until the run is over.
+        // Sequence: a change every 300 ms; each costs a reader one read of the heads, which brings the document.
+        // Cause: the budget of platform reads is charged for reads of deltas and documents that are never made.
+        const budget = { ...defaultDistributionOptions.budget, zones: 1, readerReadsPerSecond: 30 };
+        const reader = { ...defaultDistributionOptions.reader, readers: 2, standbys: 4, intervalMs: 100 };
+        const options = { ...defaultDistributionOptions, budget, reader };
+        const fleet = createInMemoryFleet({ zones: 1, nodesPerZone: 1, seed: 31, options });
+        fleet.platform.holdDocuments();
+        await fleet.startAll();
+        await fleet.clock.advance(3_000);
+        let oldest = 0;
+        for (let weight = 2; weight < 30; weight++) {
+            fleet.platform.accept("halloway", { [WEIGHT_CELL]: weight });
+            await fleet.clock.advance(300);
+            const { sequence } = fleet.platform.head("halloway");
+            oldest = Math.max(oldest, sequence - fleet.node(0).store.document("halloway").sequence);
+        }
+        expect(oldest).to.be.at.most(3);
+        fleet.stop();
+    });
 });
--- a/packages/oleandergap-gate/src/__tests__/gateFailures.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/gateFailures.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createGateHarness, type TrackedRequest } from "./gateHarness.js";
+import { createGateHarness, testLimit, type TrackedRequest } from "./gateHarness.js";
 
 describe("createGate under failure", () => {
     // Symptom: a caller waits for the whole deadline and is then told that nothing ran.
@@ -122,4 +122,35 @@
         const waiting: TrackedRequest = await harness.ask("halloway", 200);
         expect(waiting.state).to.equal("waiting");
     });
+
+    // Symptom: urgent requests wait behind a flood of less urgent ones, and miss their time.
+    // Sequence: the queue fills with requests of a low rank; then a request of a high rank arrives.
+    // Cause: the queue knows callers only, and not how urgent their requests are.
+    it("starts urgent requests first, and makes room for them in a full queue", async () => {
+        const harness = createGateHarness(1);
+        const first = await harness.ask();
+        const signal = new AbortController().signal;
+        const order: string[] = [];
+        const ask = (name: string, priority: number): void => {
+            const deadline = harness.clock.monotonic() + 60_000;
+            void harness.gate.admit({ partner: "kushiro", service: name, priority, deadline, signal })
+                .then((decision) => {
+                    order.push(`${name} ${decision._tag}`);
+                    if (decision._tag === "Right") {
+                        decision.right.release("Answered");
+                    }
+                });
+        };
+        for (let place = 0; place < testLimit.queue; place++) {
+            ask(`slow${place}`, 2);
+        }
+        ask("urgent", 1);
+        await harness.clock.advance(0);
+        expect(order).to.have.length(1);
+        expect(order[0]).to.match(/^slow\d+ Left$/);
+        await harness.release(first);
+        await harness.clock.advance(0);
+        expect(order[1]).to.equal("urgent Right");
+        expect(order.slice(2).every((line) => line.endsWith("Right"))).to.equal(true);
+    });
 });
--- a/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
@@ -145,4 +145,45 @@
         expect(keeper.current()?.leaving).to.equal(false);
         expect(await admit(keeper, clock)).to.equal("Right");
     });
+
+    it("refuses what still waits a short time after its target began to leave", async () => {
+        // Symptom: a target receives a request seconds after it announced its end, and the request is lost.
+        // Sequence: all slots are taken and a request waits; the target leaves; a slot becomes free seconds later.
+        // Cause: what waited at the time of the announcement keeps its place for as long as its deadline allows.
+        const { clock, keeper, setLimit } = setUp();
+        setLimit({ ...TEST_LIMIT, concurrency: 1 });
+        keeper.announce(createAnnouncement(TARGET_PORT));
+        const gate = keeper.current()?.gate;
+        const signal = new AbortController().signal;
+        const ask = (): ReturnType<NonNullable<typeof gate>["admit"]> | undefined => gate?.admit({
+            partner: "halloway", service: "grant-filer", deadline: clock.monotonic() + 20_000, signal,
+        });
+        const running = await ask();
+        const waiting = ask();
+        keeper.announce({ ...createAnnouncement(TARGET_PORT), leaving: true });
+        await clock.advance(1001);
+        expect(gate?.load()).to.include({ inFlight: 1, queued: 0 });
+        expect(await waiting).to.deep.include({ _tag: "Left" });
+        expect(running?._tag).to.equal("Right");
+    });
+
+    it("takes a target that is warm for an old one", () => {
+        const { clock, keeper, published } = setUp();
+        keeper.announce({ ...createAnnouncement(TARGET_PORT), coldLeftMs: 0 });
+        expect(published.at(-1)?.since).to.equal(clock.now() - 10_000);
+    });
+
+    it("puts a new lifetime at the same address in the place of the old one", async () => {
+        const { clock, keeper, published } = setUp();
+        keeper.announce({ ...createAnnouncement(TARGET_PORT), instanceId: "first", sequence: 7 });
+        const old = keeper.current()?.gate;
+        keeper.announce({ ...createAnnouncement(TARGET_PORT), instanceId: "second", sequence: 1 });
+        expect(keeper.current()?.announcement.instanceId).to.equal("second");
+        expect(keeper.current()?.gate).to.not.equal(old);
+        keeper.withdraw("first");
+        expect(keeper.current()?.announcement.instanceId).to.equal("second");
+        keeper.withdraw("second");
+        expect(published.at(-1)).to.equal(undefined);
+        await clock.advance(0);
+    });
 });
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -65,6 +65,18 @@
 const findRow = (view: TableView, { partner, service }: ServiceReference): ServiceRow | undefined =>
     view.get(partner)?.services.get(service);
 
+const createTarget = ({
+    options, clock, createPartLogger, publishTarget, view,
+}: RequestPathDependencies): TargetKeeper => createTargetKeeper({
+    clock,
+    logger: createPartLogger("target"),
+    publish: publishTarget,
+    limitOf: (service) => findRow(view(), service)?.limit,
+    createGate: (limit, slots) => createGate({ clock, limit, slots, options: options.gate }),
+    ...options.target,
+    slowStartMs: options.routing.picker.slowStartMs,
+});
+
 export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
     const { options, clock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
     const { requests } = options;
@@ -76,15 +88,7 @@
         idleMs: requests.idleConnectionMs,
         poolIdleMs: requests.poolIdleMs,
     });
-    const target = createTargetKeeper({
-        clock,
-        logger: createPartLogger("target"),
-        publish: dependencies.publishTarget,
-        limitOf: (service) => findRow(view(), service)?.limit,
-        createGate: (limit, slots) => createGate({ clock, limit, slots, options: options.gate }),
-        ...options.target,
-        slowStartMs: options.routing.picker.slowStartMs,
-    });
+    const target = createTarget(dependencies);
     const services = (): readonly ServiceReference[] => {
         const announcement = target.current()?.announcement;
         return announcement === undefined ? [] : [{ partner: announcement.partner, service: announcement.service }];
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -8,13 +8,13 @@
 import type { LogContext, Logger } from "oleandergap-logger";
 import type {
     Announcement,
-    CancelTimer,
     Clock,
     Limit,
     MemberTarget,
     Milliseconds,
     ServiceReference,
 } from "oleandergap-types";
+import { createExpiry } from "./expiry.js";
 import { createLifetimes } from "./lifetimes.js";
 
 /** The target together with the gate in front of it. */
@@ -70,11 +70,11 @@
     left.instanceId === right.instanceId;
 
 export const createTargetKeeper = (dependencies: TargetKeeperDependencies): TargetKeeper => {
-    const { clock, logger, heartbeatTimeoutMs } = dependencies;
+    const { clock, logger } = dependencies;
     let target: LocalTarget | undefined;
-    let cancelExpiry: CancelTimer = () => undefined;
     let stopping = false;
     const lifetimes = createLifetimes();
+    const expiry = createExpiry(clock, dependencies.heartbeatTimeoutMs, () => removeTarget());
 
     const publish = (): void => {
         dependencies.publish(target === undefined ? undefined : {
@@ -110,7 +110,7 @@
     };
 
     const removeTarget = (): void => {
-        cancelExpiry();
+        expiry.cancel();
         if (target !== undefined) {
             logger.info("The target is gone.", { ...describeTarget(target.announcement) });
             closeGate(target.gate);
@@ -128,24 +128,6 @@
         }
     };
 
-    /**
-     * When this process itself was frozen, the timer fires before the heartbeats that have piled up are read. A late
-     * timer is therefore no proof; the target gets as much time again.
-     */
-    const armExpiry = (): void => {
-        cancelExpiry();
-        const due = clock.monotonic() + heartbeatTimeoutMs;
-        cancelExpiry = clock.after(heartbeatTimeoutMs, () => {
-            const isLate = clock.monotonic() - due > heartbeatTimeoutMs / 2;
-            if (isLate) {
-                armExpiry();
-            }
-            else {
-                removeTarget();
-            }
-        });
-    };
-
     /**
      * A node that restarts meets a target that has long been warm. Taken for new, it would get the small share of a
      * cold one for the whole slow start, and the others its load.
@@ -178,14 +160,14 @@
         if (stopping || !lifetimes.accept(announcement)) {
             return;
         }
-        armExpiry();
+        expiry.arm();
         if (target !== undefined && isSameTarget(target.announcement, announcement)) {
             update(target, announcement);
             return;
         }
         if (target !== undefined) {
             removeTarget();
-            armExpiry();
+            expiry.arm();
         }
         install(announcement);
         if (announcement.leaving && target !== undefined) {
@@ -217,7 +199,7 @@
         },
         stop: async () => {
             stopping = true;
-            cancelExpiry();
+            expiry.cancel();
             await target?.gate.drain();
         },
     };
