--- a/packages/oleandergap-gate/src/fairQueue.ts
+++ b/packages/oleandergap-gate/src/fairQueue.ts
@@ -1,7 +1,7 @@
 /**
  * The waiting requests of a gate, by flow. A flow is what one caller's service of one partner asks of the target. A
- * free slot goes to the flow that holds the fewest, so that a flow that floods the queue waits for itself alone. Flows of
- * a more urgent priority go before all others.
+ * free slot goes to the flow that holds the fewest, so that a flow that floods the queue waits for itself alone. Flows
+ * of a more urgent priority go before all others.
  */
 import type { Milliseconds } from "oleandergap-types";
 import type { QueueOrder } from "./options.js";
--- a/packages/oleandergap-node/src/__tests__/routeTable.test.ts
+++ b/packages/oleandergap-node/src/__tests__/routeTable.test.ts
@@ -61,19 +61,20 @@
 
 describe("createServiceChooser", () => {
     it("keeps to the weights, give or take one request, wherever it starts", () => {
-        const weightsArbitrary = fastCheck.array(fastCheck.integer({ min: 1, max: 100 }), { minLength: 1, maxLength: 4 });
+        const weight = fastCheck.integer({ min: 1, max: 100 });
+        const weightsArbitrary = fastCheck.array(weight, { minLength: 1, maxLength: 4 });
         fastCheck.assert(fastCheck.property(weightsArbitrary, fastCheck.integer(), (weights, seed) => {
-            const shares = weights.map((weight, index) => ({ service: `s${index}`, weight }));
+            const shares = weights.map((value, index) => ({ service: `s${index}`, weight: value }));
             const route = createRoute("r", "one.example", "/", shares);
             const choose = createServiceChooser(createSeededRandom(seed));
-            const total = weights.reduce((sum, weight) => sum + weight, 0);
+            const total = weights.reduce((sum, value) => sum + value, 0);
             const counts = new Map<string, number>();
             for (let request = 0; request < total; request++) {
                 const service = choose(route);
                 counts.set(service, (counts.get(service) ?? 0) + 1);
             }
-            for (const { service, weight } of shares) {
-                expect(counts.get(service)).to.equal(weight);
+            for (const share of shares) {
+                expect(counts.get(share.service)).to.equal(share.weight);
             }
         }), { numRuns: 100 });
     });
--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -46,7 +46,7 @@
 export interface NodeAdapters {
     readonly dialects: Dialects;
     readonly openPlatform: (context: PlatformContext) => PlatformPorts;
-    /** The service of all callers at the gateway, where they all belong to this VM; else it is told by their address. */
+    /** The service of all callers at the gateway, where they all belong to this VM; else their address tells it. */
     readonly callerService: ServiceReference | undefined;
     readonly createListeners: (context: ListenerContext) => readonly ListenerPlan[];
 }
--- a/packages/oleandergap-node/src/admin/readiness.ts
+++ b/packages/oleandergap-node/src/admin/readiness.ts
@@ -18,7 +18,8 @@
     readonly reasons: readonly string[];
 }
 
-export const createReadinessState = (): ReadinessState => ({ listening: false, recovered: false, draining: false, refusing: false });
+export const createReadinessState = (): ReadinessState =>
+    ({ listening: false, recovered: false, draining: false, refusing: false });
 
 export const describeReadiness = (state: ReadinessState): Readiness => {
     const reasons: string[] = [];
--- a/packages/oleandergap-node/src/gateway/routeTable.ts
+++ b/packages/oleandergap-node/src/gateway/routeTable.ts
@@ -123,6 +123,7 @@
         if (only === undefined) {
             throw new Error(`the route ${route.name} has no service`);
         }
-        return route.shares.length === 1 ? only.service : route.shares[advance(route, rotationOf(route))]?.service ?? only.service;
+        const chosen = route.shares.length === 1 ? only : route.shares[advance(route, rotationOf(route))];
+        return (chosen ?? only).service;
     };
 };
--- a/packages/oleandergap-node/src/gateway/targetLookup.ts
+++ b/packages/oleandergap-node/src/gateway/targetLookup.ts
@@ -46,7 +46,7 @@
 const isSameList = (left: readonly TargetMember[], right: readonly TargetMember[]): boolean =>
     left === right || (left.length === right.length && left.every((target, index) => target === right[index]));
 
-/** The zones that a row sends requests to: those with a weight, or all of the table where targets are chosen by load. */
+/** The zones that a row sends requests to: those with a weight, or all of the table when placement is by load. */
 export const listServingZones = (table: PartnerTable, row: ServiceRow): readonly ZoneName[] =>
     row.placement === "load" ?
         [...table.zones] :
--- a/packages/oleandergap-node/src/target/expiry.ts
+++ b/packages/oleandergap-node/src/target/expiry.ts
@@ -11,8 +11,8 @@
 /**
  * Calls `onExpired` once `timeoutMs` have passed without a heartbeat.
  *
- * When this process itself was frozen, the timer fires before the heartbeats that have piled up are read. A late timer is
- * therefore no proof; the target gets as much time again.
+ * When this process itself was frozen, the timer fires before the heartbeats that have piled up are read. A late timer
+ * is therefore no proof; the target gets as much time again.
  */
 export const createExpiry = (clock: Clock, timeoutMs: Milliseconds, onExpired: () => void): Expiry => {
     let cancelTimer: CancelTimer = () => undefined;
