Configuration, distribution: pay for what changed when versions are whole documents

Ruled out: the size of the operator's row (0.5 ms to parse). Tests: 79 passing in both packages, among them the comparison of the short way with the long one by fast-check.

--- a/packages/oleandergap-configuration/src/__tests__/routes.test.ts
+++ b/packages/oleandergap-configuration/src/__tests__/routes.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import * as either from "fp-ts/lib/Either.js";
-import type { Cells } from "oleandergap-types";
-import { getNextTable, getTable } from "../table/knownTables.js";
+import fastCheck from "fast-check";
+import type { CellChange, Cells } from "oleandergap-types";
+import { getNextTable, getTable, getTableAfter } from "../table/knownTables.js";
 import { parseTable } from "../table/parseTable.js";
 import type { TableProblem } from "../table/tableProblem.js";
 import { applyDeltas, createNextVersion } from "../version/delta.js";
@@ -94,4 +95,30 @@
         expect(table !== undefined && either.isLeft(table) && table.left.map(({ kind }) => kind))
             .to.deep.equal(["UnknownService"]);
     });
+
+    it("checks a similar document with the same result as from the start", () => {
+        const changeArbitrary = fastCheck.record({
+            cell: fastCheck.constantFrom(
+                ...Object.keys(withRoutes),
+                "routes/reads/services/nowhere",
+                "routes/other/host",
+                ...Object.keys(routeCells("other", "/other/", { vault: 3 })),
+            ),
+            after: fastCheck.constantFrom(undefined, 1, 90, "desk.example", "/reads/", "/other/", "safe", "small"),
+        }).map(({ cell, after }): CellChange => after === undefined ? { cell } : { cell, after });
+        fastCheck.assert(fastCheck.property(fastCheck.array(changeArbitrary, { maxLength: 10 }), (changes) => {
+            const base = createDocument("halloway", 1, withRoutes);
+            getTable(base);
+            const cells = applyChanges(withRoutes, changes);
+            const next = createDocument("halloway", 5, cells, base);
+            const anew = createDocument("halloway", 5, cells);
+            expect(next.digest).to.equal(anew.digest);
+            const [after, parsed] = [getTableAfter(base, next), parseTable(anew)];
+            expect(after._tag).to.equal(parsed._tag);
+            if (either.isRight(after) && either.isRight(parsed)) {
+                expect([...after.right.routes].sort()).to.deep.equal([...parsed.right.routes].sort());
+                expect([...after.right.services].sort()).to.deep.equal([...parsed.right.services].sort());
+            }
+        }), { numRuns: 500 });
+    });
 });
--- a/packages/oleandergap-configuration/src/store/partnerStore.ts
+++ b/packages/oleandergap-configuration/src/store/partnerStore.ts
@@ -2,7 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Delta, Head, PartnerDocument, PartnerName, PartnerTable, Route, Sequence, ZoneName } from "oleandergap-types";
-import { getNextTable, getTable } from "../table/knownTables.js";
+import { getNextTable, getTableAfter } from "../table/knownTables.js";
 import type { TableProblem } from "../table/tableProblem.js";
 import { applyDeltas } from "../version/delta.js";
 import { checkDocument, createEmptyDocument, getDocumentHead } from "../version/document.js";
@@ -99,7 +99,7 @@
         if (either.isLeft(checked)) {
             return checked;
         }
-        const table = getTable(checked.right);
+        const table = getTableAfter(current.document, checked.right);
         if (either.isLeft(table)) {
             return either.left(toInvalid(document)(table.left));
         }
--- a/packages/oleandergap-configuration/src/table/knownTables.ts
+++ b/packages/oleandergap-configuration/src/table/knownTables.ts
@@ -3,6 +3,8 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { CellChange, PartnerDocument, PartnerTable } from "oleandergap-types";
 import { getRowKey } from "../version/cellAddress.js";
+import { getRowIndex } from "../version/document.js";
+import { listChangedRows } from "../version/rowIndex.js";
 import { parseTable } from "./parseTable.js";
 import { reparseTable } from "./reparseTable.js";
 import type { TableProblem } from "./tableProblem.js";
@@ -26,6 +28,18 @@
     return known === undefined ? remember(document, parseTable(document)) : either.right(known);
 };
 
+/** The table of `next`, whatever lies between it and `previous`; rows that both hold are not checked again. */
+export const getTableAfter = (
+    previous: PartnerDocument,
+    next: PartnerDocument,
+): Either<readonly TableProblem[], PartnerTable> => {
+    const known = knownTables.get(previous);
+    if (known === undefined || knownTables.has(next)) {
+        return getTable(next);
+    }
+    return remember(next, reparseTable(known, next, listChangedRows(getRowIndex(previous), getRowIndex(next))));
+};
+
 /** The table of `next`, which differs from `previous` in at most the cells of `changes`. */
 export const getNextTable = (
     previous: PartnerDocument,
--- a/packages/oleandergap-configuration/src/table/reparseTable.ts
+++ b/packages/oleandergap-configuration/src/table/reparseTable.ts
@@ -5,13 +5,15 @@
     Limit,
     PartnerDocument,
     PartnerTable,
+    Route,
     ServiceName,
     ServiceRow,
 } from "oleandergap-types";
-import { LIMITS_SHEET, SERVICES_SHEET, splitRowKey, type RowKey } from "../version/cellAddress.js";
+import { LIMITS_SHEET, ROUTES_SHEET, SERVICES_SHEET, splitRowKey, type RowKey } from "../version/cellAddress.js";
 import { getDocumentHead, getRowIndex } from "../version/document.js";
 import type { RowCells, RowIndex } from "../version/rowIndex.js";
 import { checkSize, parseTable } from "./parseTable.js";
+import { findDoubledRoutes, parseRoute } from "./routes.js";
 import { parseLimitRow, parseServiceRow, type RowReferences, type RowResult } from "./rows.js";
 import type { TableProblem } from "./tableProblem.js";
 
@@ -22,6 +24,7 @@
 interface ChangedNames {
     readonly limits: ReadonlySet<string>;
     readonly services: ReadonlySet<ServiceName>;
+    readonly routes: ReadonlySet<string>;
     /** Zones or cells of no known sheet changed. */
     readonly hasOthers: boolean;
 }
@@ -32,7 +35,9 @@
         new Set(names.filter(({ sheet }) => sheet === wanted).map(({ name }) => name));
     const limits = namesIn(LIMITS_SHEET);
     const services = namesIn(SERVICES_SHEET);
-    return { limits, services, hasOthers: limits.size + services.size < new Set(changed).size };
+    const routes = namesIn(ROUTES_SHEET);
+    const hasOthers = limits.size + services.size + routes.size < new Set(changed).size;
+    return { limits, services, routes, hasOthers };
 };
 
 type LimitResult = RowResult<Limit | undefined>;
@@ -83,6 +88,30 @@
     return problems.length > 0 ? either.left(problems) : either.right(services);
 };
 
+const reparseRoutes = (
+    previous: PartnerTable,
+    changed: ReadonlySet<string>,
+    index: RowIndex,
+): RowResult<ReadonlyMap<string, Route>> => {
+    if (changed.size === 0) {
+        return either.right(previous.routes);
+    }
+    const routes = new Map(previous.routes);
+    const problems: TableProblem[] = [];
+    for (const name of changed) {
+        routes.delete(name);
+        const row = index.rows.get(`${ROUTES_SHEET}/${name}`);
+        const hasService = (service: ServiceName): boolean => index.rows.has(`${SERVICES_SHEET}/${service}`);
+        const result = row === undefined ? undefined : parseRoute(name, row.cells, hasService);
+        if (result !== undefined && either.isRight(result)) {
+            routes.set(name, result.right);
+        }
+        problems.push(...result === undefined ? [] : getProblems(result));
+    }
+    problems.push(...findDoubledRoutes(routes));
+    return problems.length > 0 ? either.left(problems) : either.right(routes);
+};
+
 /**
  * Like {@link parseTable}, for a document that differs from the one behind `previous` in at most the rows `changed`.
  * Rows that neither changed nor refer to a changed limit are taken over, since the same cells give the same row.
@@ -95,9 +124,9 @@
     const index = getRowIndex(document);
     const names = groupNames(changed);
     const isLarge = changed.length > MAX_CHANGED_SHARE * index.rows.size;
-    // A route may name a service that has just gone; routes are few, so they are then checked from the start.
-    const mayOpenRoutes = names.services.size > 0 && previous.routes.size > 0;
-    if (isLarge || names.hasOthers || mayOpenRoutes || checkSize(index).length > 0) {
+    // A route that did not change may name a service that has just gone.
+    const losesService = [...names.services].some((name) => !index.rows.has(`${SERVICES_SHEET}/${name}`));
+    if (isLarge || names.hasOthers || losesService || checkSize(index).length > 0) {
         return parseTable(document);
     }
     const readLimit = createLimitReader(index);
@@ -114,8 +143,18 @@
         (service, cells) => parseServiceRow(service, cells, references),
         index,
     );
-    const problems = [...[...names.limits].map(readLimit).flatMap(getProblems), ...getProblems(services)];
-    return either.isLeft(services) || problems.length > 0 ?
+    const routes = reparseRoutes(previous, names.routes, index);
+    const problems = [
+        ...[...names.limits].map(readLimit).flatMap(getProblems),
+        ...getProblems(services),
+        ...getProblems(routes),
+    ];
+    return either.isLeft(services) || either.isLeft(routes) || problems.length > 0 ?
         either.left(problems) :
-        either.right({ ...previous, head: getDocumentHead(document), services: services.right });
+        either.right({
+            ...previous,
+            head: getDocumentHead(document),
+            services: services.right,
+            routes: routes.right,
+        });
 };
--- a/packages/oleandergap-configuration/src/version/document.ts
+++ b/packages/oleandergap-configuration/src/version/document.ts
@@ -47,9 +47,14 @@
     return document;
 };
 
-/** Computes the digest of `cells`. */
-export const createDocument = (partner: PartnerName, sequence: Sequence, cells: Cells): PartnerDocument => {
-    const index = buildRowIndex(cells);
+/** Computes the digest of `cells`; what a similar document `previous` holds as well is taken over from it. */
+export const createDocument = (
+    partner: PartnerName,
+    sequence: Sequence,
+    cells: Cells,
+    previous?: PartnerDocument,
+): PartnerDocument => {
+    const index = buildRowIndex(cells, previous === undefined ? undefined : getRowIndex(previous));
     return createIndexedDocument(partner, sequence, computeIndexDigest(partner, index), index);
 };
 
--- a/packages/oleandergap-configuration/src/version/rowIndex.ts
+++ b/packages/oleandergap-configuration/src/version/rowIndex.ts
@@ -57,12 +57,19 @@
     return groups;
 };
 
-/** Groups plain cells by row; needed only for documents that arrive whole. */
-export const buildRowIndex = (cells: Cells): RowIndex => {
+const hasSameCells = (known: IndexedRow, cells: readonly CellEntry[]): boolean =>
+    known.cells.size === cells.length && cells.every(([cell, value]) => known.cells.get(cell) === value);
+
+/**
+ * Groups plain cells by row; needed only for documents that arrive whole. Rows that `previous` holds as well are taken
+ * over from it: of a version with 300 routes of which one changed, this takes a tenth of the time of hashing them all.
+ */
+export const buildRowIndex = (cells: Cells, previous?: RowIndex): RowIndex => {
     const entries = Object.entries(cells);
     const rows = new Map<RowKey, IndexedRow>();
     for (const [row, rowCells] of groupByRow(entries, ([cell]) => cell)) {
-        rows.set(row, indexRow(rowCells));
+        const known = previous?.rows.get(row);
+        rows.set(row, known !== undefined && hasSameCells(known, rowCells) ? known : indexRow(rowCells));
     }
     return { rows, rowKeys: [...rows.keys()].sort(), cellCount: entries.length };
 };
@@ -100,6 +107,13 @@
     return { rows, rowKeys: hasSameRows ? index.rowKeys : [...rows.keys()].sort(), cellCount };
 };
 
+/** Rows that differ between two versions, also those that only one of them holds. */
+export const listChangedRows = (previous: RowIndex, next: RowIndex): readonly RowKey[] => {
+    const changed = next.rowKeys.filter((row) => previous.rows.get(row)?.digest !== next.rows.get(row)?.digest);
+    const removed = previous.rowKeys.filter((row) => !next.rows.has(row));
+    return [...changed, ...removed];
+};
+
 /** All cells as a plain object. */
 export const collectCells = ({ rows }: RowIndex): Cells => {
     const cells: Record<CellAddress, CellValue> = {};
--- a/packages/oleandergap-distribution/src/options.ts
+++ b/packages/oleandergap-distribution/src/options.ts
@@ -32,6 +32,11 @@
     attemptsPerHead: z.number().int().min(1).max(20).default(3),
     /** Time for which a claim that could not be verified is not looked at again. */
     setAsideMs: milliseconds(100, 600_000).default(5_000),
+    /**
+     * A node that follows the platform itself waits this long for its own news before it asks a peer. Where versions
+     * travel as whole documents, all nodes of a zone would otherwise fetch each of them from a peer and read it too.
+     */
+    peerPatienceMs: milliseconds(0, 10_000).default(0),
 });
 
 const readerOptionsSchema = z.strictObject({
--- a/packages/oleandergap-distribution/src/platformReader.ts
+++ b/packages/oleandergap-distribution/src/platformReader.ts
@@ -42,6 +42,8 @@
     readonly rank: () => number;
     /** Whether this node polls now. */
     readonly isReading: () => boolean;
+    /** Whether it polls, and the platform answered the last time. */
+    readonly isFollowing: () => boolean;
 }
 
 /** Wait before the first poll, so that a node that starts with many others has met them and knows its rank. */
@@ -124,5 +126,6 @@
         platformAge: () => heardAt === undefined ? undefined : Math.max(0, clock.monotonic() - heardAt),
         rank: duty.rank,
         isReading: duty.isReading,
+        isFollowing: () => duty.isReading() && heardAt !== undefined && failuresInARow === 0,
     };
 };
--- a/packages/oleandergap-distribution/src/spread.ts
+++ b/packages/oleandergap-distribution/src/spread.ts
@@ -99,6 +99,7 @@
         fetchVersion,
         otherPeers: () => fleet.members().filter((member) => member.id !== fleet.self().id),
         budget,
+        followsPlatform: reader.isFollowing,
         options: options.pull,
         counters,
     });
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -19,6 +19,8 @@
     /** Peers to try when those who told a head do not deliver it. */
     readonly otherPeers: () => readonly PeerAddress[];
     readonly budget: Pick<ReadBudget, "timeToNext">;
+    /** Whether this node hears of new versions from the platform itself at the moment. */
+    readonly followsPlatform: () => boolean;
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: Logger;
@@ -38,7 +40,10 @@
 type PullerState =
     | { readonly kind: "Idle" }
     | { readonly kind: "Pulling" }
-    | { readonly kind: "Waiting"; readonly cancel: CancelTimer };
+    /** After a failure, or for want of budget. */
+    | { readonly kind: "Waiting"; readonly cancel: CancelTimer }
+    /** A peer told a head that this node is about to hear from the platform. */
+    | { readonly kind: "Patient"; readonly cancel: CancelTimer };
 
 /** One question to one source; `claimed` is the head that this source told, if it told any. */
 interface PullAttempt {
@@ -59,6 +64,7 @@
     fetchVersion,
     otherPeers,
     budget,
+    followsPlatform,
     clock,
     random,
     logger,
@@ -142,18 +148,34 @@
         void pullFrom(attempt);
     };
 
+    const cancelWait = (): void => {
+        if (state.kind === "Waiting" || state.kind === "Patient") {
+            state.cancel();
+            state = { kind: "Idle" };
+        }
+    };
+
+    const startPulling = (isFromPlatform: boolean): void => {
+        if (isFromPlatform || options.peerPatienceMs === 0 || !followsPlatform()) {
+            pullNext();
+            return;
+        }
+        state = { kind: "Patient", cancel: startTimer(clock, signal, options.peerPatienceMs, pullNext) };
+    };
+
     return {
         tell: (claim) => {
             if (!store.isWanted(claim.head)) {
                 return;
             }
             const isNews = book.note(claim);
-            if (state.kind === "Waiting" && isNews && hasNotFailedLast(claim.source)) {
-                state.cancel();
-                state = { kind: "Idle" };
+            const isFromPlatform = claim.source.kind === "Platform";
+            const endsWait = state.kind === "Waiting" && isNews && hasNotFailedLast(claim.source);
+            if ((state.kind === "Patient" && isFromPlatform) || endsWait) {
+                cancelWait();
             }
             if (state.kind === "Idle") {
-                pullNext();
+                startPulling(isFromPlatform);
             }
         },
         expectedSequence: () => Math.max(sequence(), book.claims()[0]?.head.sequence ?? 0),
