--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -143,6 +143,7 @@
         countRequest: (end, duration) => metrics.countRequest("gate", end, duration),
     });
     const picker = createTargetPicker<TargetMember>({
+        ownNode: options.nodeId,
         ownZone: options.zone,
         clock,
         random,
--- a/packages/oleandergap-routing/src/__tests__/pickerHarness.ts
+++ b/packages/oleandergap-routing/src/__tests__/pickerHarness.ts
@@ -61,6 +61,7 @@
     let targets = initialTargets;
     let row = initialRow;
     const picker = createTargetPicker<RoutableTarget>({
+        ownNode: "hall-a-0",
         ownZone,
         clock,
         random: createSeededRandom(seed),
--- /dev/null
+++ b/packages/oleandergap-routing/src/__tests__/placement.test.ts
@@ -0,0 +1,48 @@
+import { expect } from "chai";
+import { answered, connectFailed, countFor, createPickerHarness, createRow, createTargets } from "./pickerHarness.js";
+
+const byLoad = { ...createRow({}), placement: "load" as const };
+const targets = [...createTargets("hall-a", 2), ...createTargets("hall-b", 1), ...createTargets("hall-c", 3)];
+
+describe("placement by load", () => {
+    it("needs no weights", async () => {
+        const harness = createPickerHarness(targets, byLoad, { nearLoad: 0 });
+        const counts = await harness.send(600);
+        expect(counts.size).to.equal(6);
+        for (const count of counts.values()) {
+            expect(count).to.be.within(60, 140);
+        }
+    });
+
+    it("stays on the own VM while there is room, then in the own zone, then goes anywhere", () => {
+        const harness = createPickerHarness(targets, byLoad, { nearLoad: 0.5 });
+        const counts = new Map<string, number>();
+        for (let sent = 0; sent < 30; sent++) {
+            const nodeId = harness.pick()?.target.nodeId ?? "none";
+            counts.set(nodeId, (counts.get(nodeId) ?? 0) + 1);
+            if (sent === 4) {
+                expect([...counts]).to.deep.equal([["hall-a-0", 5]]);
+            }
+            if (sent === 9) {
+                expect(counts.get("hall-a-1")).to.equal(5);
+            }
+        }
+        expect(countFor(counts, "hall-b") + countFor(counts, "hall-c")).to.be.at.least(14);
+    });
+
+    it("leaves a target nearby that fails", async () => {
+        const harness = createPickerHarness(targets, byLoad);
+        const counts = await harness.send(60, ({ nodeId }) => nodeId === "hall-a-0" ? connectFailed : answered);
+        expect(counts.get("hall-a-0")).to.be.at.most(6);
+    });
+
+    it("leaves a target nearby to its slow start", async () => {
+        // Symptom: a target that has just started answers far too late, although others have room.
+        // Sequence: a target starts on a VM with callers; all of them go to it while it is cold.
+        // Cause: the preference for what is near overrides the small share of a young target.
+        const young = targets.map((target) => target.nodeId === "hall-a-0" ? { ...target, since: 1_000_000 } : target);
+        const harness = createPickerHarness(young, byLoad);
+        const counts = await harness.send(200);
+        expect(counts.get("hall-a-0") ?? 0).to.be.at.most(20);
+    });
+});
--- a/packages/oleandergap-routing/src/options.ts
+++ b/packages/oleandergap-routing/src/options.ts
@@ -30,6 +30,11 @@
     silenceMs: z.number().min(10).max(600_000).default(1000),
     /** The same for a target whose gate gives signs of life and owes one; several times their distance of 100 ms. */
     missedSignsMs: z.number().min(10).max(600_000).default(250),
+    /**
+     * Where targets are placed by load, one on the own VM or in the own zone is preferred while its expected load per
+     * slot is at most this; 0 switches the preference off.
+     */
+    nearLoad: z.number().min(0).max(10).default(0.75),
     /** Time in which the spill of a zone that refuses no more falls to a third, in milliseconds. */
     spillReturnMs: z.number().min(100).max(600_000).default(5000),
     /** When to come back if a service has no target, in milliseconds. */
--- a/packages/oleandergap-routing/src/serviceState.ts
+++ b/packages/oleandergap-routing/src/serviceState.ts
@@ -1,6 +1,7 @@
 /** What one node knows of one service; rebuilt when the service's row or its targets change. */
 import type { Clock, NodeId, ServiceRow, ZoneName } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
+import { listNearTargets, type Nearness } from "./nearTarget.js";
 import type { CallerSpread } from "./options.js";
 import type { RoutableTarget } from "./target.js";
 import { createTargetState, updateTarget, type TargetState } from "./targetState.js";
@@ -17,13 +18,15 @@
     readonly allZones: Map<ZoneName, ZoneState<Target>>;
     /** Zones that may be chosen: with a weight and with targets. */
     zones: readonly ZoneState<Target>[];
+    /** Targets of the own VM and zone; empty unless targets are placed by load. */
+    near: readonly TargetState<Target>[];
 }
 
 /** What a rebuild depends on besides row and targets. */
 export interface RebuildContext {
     readonly clock: Clock;
     readonly random: Random;
-    readonly ownZone: ZoneName;
+    readonly nearness: Nearness;
     readonly callerSpread: CallerSpread;
 }
 
@@ -34,6 +37,7 @@
     states: new Map(),
     allZones: new Map(),
     zones: [],
+    near: [],
 });
 
 const collectStates = <Target extends RoutableTarget>(
@@ -108,7 +112,7 @@
     service.row = row;
     service.states = collectStates(service.states, targets, context.clock);
     const weights: ServiceRow["weights"] = row.placement === "load" ? new Map([[ALL_ZONES, 1]]) : row.weights;
-    const shares = planZoneShares(weights, context.ownZone, context.callerSpread);
+    const shares = planZoneShares(weights, context.nearness.ownZone, context.callerSpread);
     const zones: ZoneState<Target>[] = [];
     for (const [name, states] of groupStates(service.states.values(), row)) {
         const zone = zoneOf(service, name, context);
@@ -120,6 +124,7 @@
         }
     }
     service.zones = normaliseShares(zones);
+    service.near = row.placement === "load" ? listNearTargets(service.states.values(), context.nearness) : [];
 };
 
 /** A zone without targets leaves its share to the others in proportion to their weights. */
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -1,13 +1,14 @@
 /** Chooses targets: the zone by the table's weights, within it the less loaded of two random candidates. */
-import { formatServiceReference, type Clock, type Milliseconds, type ZoneName } from "oleandergap-types";
+import { formatServiceReference, type Clock, type Milliseconds, type NodeId, type ZoneName } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import { createProgress, type Choice } from "./attemptProgress.js";
-import { drawTarget } from "./drawTarget.js";
+import { drawTarget, type DrawContext } from "./drawTarget.js";
 import { learnOutcome } from "./learnOutcome.js";
+import { findNearTarget, type Nearness } from "./nearTarget.js";
 import { defaultRoutingOptions, type PickerOptions } from "./options.js";
 import { createServiceState, refreshService, type ServiceState } from "./serviceState.js";
 import type { PickRequest, RoutableTarget, TargetPick, TargetPicker, ZoneSummary } from "./target.js";
-import { markBack, markSent } from "./targetState.js";
+import { markBack, markSent, type TargetState } from "./targetState.js";
 import { countTargets, endSilence, takeProbe } from "./zoneCandidates.js";
 import { chooseZone } from "./zoneChoice.js";
 import { fadeSpill, noteZoneProbe, type ZoneState } from "./zoneState.js";
@@ -17,6 +18,8 @@
 
 /** What a picker works with. */
 export interface TargetPickerDependencies {
+    /** Undefined where no target stands on this node's VM. */
+    readonly ownNode?: NodeId;
     readonly ownZone: ZoneName;
     readonly clock: Clock;
     readonly random: Random;
@@ -25,13 +28,15 @@
 
 /** Creates the picker of one node; it serves all services. */
 export const createTargetPicker = <Target extends RoutableTarget>({
+    ownNode,
     ownZone,
     clock,
     random,
     options = defaultRoutingOptions.picker,
 }: TargetPickerDependencies): TargetPicker<Target> => {
     const services = new Map<string, ServiceState<Target>>();
-    const rebuildContext = { clock, random, ownZone, callerSpread: options.callerSpread };
+    const nearness: Nearness = { ownNode, ownZone, nearLoad: options.nearLoad };
+    const rebuildContext = { clock, random, nearness, callerSpread: options.callerSpread };
 
     const stateOf = (request: PickRequest<Target>): ServiceState<Target> => {
         const key = formatServiceReference(request.service);
@@ -46,11 +51,12 @@
 
     const pickInZone = (
         zone: ZoneState<Target>,
+        near: readonly TargetState<Target>[],
         { exclude, canResend }: PickRequest<Target>,
         now: Milliseconds,
     ): Choice<Target> | undefined => {
         const probed = takeProbe(zone.candidates, now, canResend, exclude);
-        const state = probed ?? drawTarget(zone.candidates, {
+        const context: DrawContext = {
             now,
             random,
             exclude,
@@ -59,13 +65,14 @@
             silenceMs: Math.max(options.silenceMs, SILENCE_FACTOR * zone.typicalLatencyMs),
             missedSignsMs: options.missedSignsMs,
             typicalLatencyMs: zone.typicalLatencyMs,
-        });
+        };
+        const state = probed ?? findNearTarget(near, nearness, context) ?? drawTarget(zone.candidates, context);
         return state === undefined ? undefined : { zone, state, isProbe: probed !== undefined };
     };
 
     /** The chosen zone first; the others serve when the request has been to all of its targets. */
     const choose = (request: PickRequest<Target>, now: Milliseconds): Choice<Target> | undefined => {
-        const { zones } = stateOf(request);
+        const { zones, near } = stateOf(request);
         for (const zone of zones) {
             fadeSpill(zone, now, options.spillReturnMs);
         }
@@ -75,12 +82,12 @@
             return undefined;
         }
         noteZoneProbe(chosen, now);
-        const choice = pickInZone(chosen, request, now);
+        const choice = pickInZone(chosen, near, request, now);
         if (choice !== undefined || request.exclude.length === 0) {
             return choice;
         }
         for (const zone of zones) {
-            const other = zone === chosen ? undefined : pickInZone(zone, request, now);
+            const other = zone === chosen ? undefined : pickInZone(zone, near, request, now);
             if (other !== undefined) {
                 return other;
             }
