--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -88,5 +88,6 @@
         callerAt: () => undefined,
         maxBodyBytes: options.maxBodyBytes ?? 64 * 1024 * 1024,
         countRequest: () => undefined,
+        logFailure: () => undefined,
     }));
 };
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -23,6 +23,7 @@
 import { createGatewayHandler } from "./gateway/gatewayHandler.js";
 import { createSendToGate } from "./gateway/sendToGate.js";
 import { createOwnerRouting, listOwners } from "./gateway/ownerRouting.js";
+import { createRequestLog } from "./gateway/requestLog.js";
 import { createServiceChooser } from "./gateway/routeTable.js";
 import { createTargetLookup, listServingZones } from "./gateway/targetLookup.js";
 import type { Dialects } from "./http/dialect.js";
@@ -193,6 +194,11 @@
         },
         maxBodyBytes: requests.maxBodyBytes,
         countRequest: (end, duration) => metrics.countRequest("gateway", end, duration),
+        logFailure: createRequestLog({
+            clock,
+            logger: createPartLogger("request"),
+            linesPerSecond: options.logs.requestLinesPerSecond,
+        }),
     });
     return { target, claims, claimSweeper, pools, handleGate, handleGateway };
 };
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -3,10 +3,9 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
 import type { TargetMember } from "oleandergap-membership";
-import type { RequestRouter } from "oleandergap-routing";
+import type { RequestRouter, TriedTarget } from "oleandergap-routing";
 import type {
     Clock,
-    Head,
     Milliseconds,
     RequestFailure,
     ServiceReference,
@@ -22,6 +21,7 @@
 import { writeAnswer, writeFailure } from "../http/writeAnswer.js";
 import { readCallerRequest, type CallerRequest } from "./callerRequest.js";
 import type { FindOwnerRouter } from "./ownerRouting.js";
+import type { LogFailedRequest } from "./requestLog.js";
 import type { ChooseService } from "./routeTable.js";
 import type { FindTargets } from "./targetLookup.js";
 import type { SendToGate } from "./sendToGate.js";
@@ -44,6 +44,7 @@
     readonly callerAt: (address: string | undefined) => ServiceReference | undefined;
     readonly maxBodyBytes: number;
     readonly countRequest: (end: RequestEnd, duration: Milliseconds) => void;
+    readonly logFailure: LogFailedRequest;
 }
 
 /** One caller's request on its way. */
@@ -57,8 +58,8 @@
     readonly callingService: ServiceReference | undefined;
     /** Known once the request's head was read. */
     deadline: Milliseconds;
-    /** The version that the request is served by, once its head was read. */
-    version: Head | undefined;
+    /** Known once the request's head was read. */
+    caller: CallerRequest | undefined;
     /** A hop below has retried. */
     isRetried: boolean;
 }
@@ -69,16 +70,30 @@
 export const createGatewayHandler = (dependencies: GatewayHandlerDependencies) => {
     const { clock, dialect } = dependencies;
 
-    const describeAnswer = ({ version, requestId, isRetried }: Passage, verdict: Verdict): Record<string, string> =>
-        dialect.describeAnswer({ verdict, version, requestId, isRetried });
+    const describeAnswer = ({ caller, requestId, isRetried }: Passage, verdict: Verdict): Record<string, string> =>
+        dialect.describeAnswer({ verdict, version: caller?.table.head, requestId, isRetried });
 
-    const refuse = (passage: Passage, failure: RequestFailure, retryAfterMs?: Milliseconds): void => {
+    const refuse = (
+        passage: Passage,
+        failure: RequestFailure,
+        retryAfterMs?: Milliseconds,
+        tried: readonly TriedTarget[] = [],
+    ): void => {
         const now = clock.monotonic();
         const isLate = failure.kind === "AnswerLost" && now >= passage.deadline - TIMER_TOLERANCE_MS;
         const context = { statusCode: isLate ? HTTP_STATUS.gatewayTimeout : undefined, retryAfterMs };
         const described = dialect.describeFailure(failure, context);
         writeFailure(passage.response, described, describeAnswer(passage, failure.verdict));
         dependencies.countRequest({ kind: "Failed", failure }, now - passage.startedAt);
+        dependencies.logFailure({
+            id: passage.requestId,
+            caller: passage.caller,
+            failure,
+            retryAfterMs,
+            durationMs: now - passage.startedAt,
+            leftMs: passage.deadline - now,
+            tried,
+        });
     };
 
     const route = async (passage: Passage, caller: CallerRequest, body: RequestBody): Promise<void> => {
@@ -105,7 +120,7 @@
 
         if (either.isLeft(routed)) {
             passage.isRetried = routed.left.retriedBelow;
-            refuse(passage, routed.left.failure, routed.left.retryAfterMs);
+            refuse(passage, routed.left.failure, routed.left.retryAfterMs, routed.left.tried);
             return;
         }
         const { answer, retriedBelow } = routed.right;
@@ -127,7 +142,7 @@
             refuse(passage, caller.left);
             return;
         }
-        passage.version = caller.right.table.head;
+        passage.caller = caller.right;
         passage.deadline = caller.right.deadline;
         const received = receiveBody(passage.request, {
             clock,
@@ -150,7 +165,7 @@
             requestId: dialect.readRequestId(request),
             callingService: dependencies.callerAt(request.socket.remoteAddress),
             deadline: Number.POSITIVE_INFINITY,
-            version: undefined,
+            caller: undefined,
             isRetried: false,
         };
         handle(passage).catch((error: unknown) => {
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -68,6 +68,11 @@
     drainTimeoutMs: z.number().int().min(100).max(3_600_000).default(60_000),
 });
 
+const logsSchema = z.strictObject({
+    /** Lines on failed requests a second, on average; more are left out and counted. */
+    requestLinesPerSecond: z.number().min(0).max(10_000).default(20),
+});
+
 const clusterSchema = z.strictObject({
     /** File with the key that all nodes share; a relative path starts at the folder of the settings file. */
     keyFile: z.string().min(1).optional(),
@@ -91,6 +96,7 @@
     requests: requestsSchema.prefault({}),
     target: targetSchema.prefault({}),
     stop: stopSchema.prefault({}),
+    logs: logsSchema.prefault({}),
     membership: membershipOptionsSchema.prefault({}),
     targetDirectory: targetDirectoryOptionsSchema.prefault({}),
     distribution: distributionOptionsSchema.prefault({}),
--- a/packages/oleandergap-routing/src/attemptHistory.ts
+++ b/packages/oleandergap-routing/src/attemptHistory.ts
@@ -29,6 +29,7 @@
 /** Starts before the first attempt. */
 export const createAttemptHistory = (): AttemptHistory => {
     const tried: NodeId[] = [];
+    const failures = new Map<NodeId, RequestFailure>();
     let shortages = 0;
     let targetsReached = 0;
     let shortZone: ZoneName | undefined;
@@ -55,6 +56,7 @@
         return {
             failure: withRetryAfter(covering, retryAfterMs),
             attempts: tried.length,
+            tried: tried.map((nodeId) => ({ nodeId, failure: failures.get(nodeId) })),
             retriedBelow: wasRetriedBelow || tried.length > 0,
             retryAfterMs,
         };
@@ -71,6 +73,7 @@
         },
         addFailure: (target, failure, retriedBelow) => {
             lastFailure = failure;
+            failures.set(target.nodeId, failure);
             wasRetriedBelow ||= retriedBelow;
             noteRetryAfter(failure);
             targetsReached += hasReachedTarget(failure) ? 1 : 0;
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -1,6 +1,6 @@
 /** A request on its way: what the router is given, what one attempt yields, and what comes out in the end. */
 import type { Either } from "fp-ts/lib/Either.js";
-import type { GateLoad, Milliseconds, RequestFailure, ServiceReference, ServiceRow } from "oleandergap-types";
+import type { GateLoad, Milliseconds, NodeId, RequestFailure, ServiceReference, ServiceRow } from "oleandergap-types";
 import type { AttemptProgress, RoutableTarget } from "./target.js";
 
 /** One request, and what it allows. */
@@ -55,10 +55,17 @@
     readonly retriedBelow: boolean;
 }
 
+/** A target that a request was sent to, and why it gave no answer; without a failure it was not heard of yet. */
+export interface TriedTarget {
+    readonly nodeId: NodeId;
+    readonly failure: RequestFailure | undefined;
+}
+
 /** The final failure of a request. Its verdict covers all attempts, not only the last one. */
 export interface RoutedFailure {
     readonly failure: RequestFailure;
     readonly attempts: number;
+    readonly tried: readonly TriedTarget[];
     /** The failure goes up with `oleandergap-retry: no`. */
     readonly retriedBelow: boolean;
     /** When to come back, computed from what refused or failed. */
