Gate: requests that can be in time first, late ones only with time to spare

Ruled out: lost targets (the log of failed requests names DeadlineTooShort at the gates, not NoTarget). Change: within a priority the earliest objective goes first; requests that cannot meet theirs run when others leave room and are refused at once when they do not. Played by the test: at twice the capacity for 5 s, more than 0.9 of it is answered in time, less than 0.2 in order of arrival.

--- /dev/null
+++ b/packages/oleandergap-gate/src/__tests__/objectives.test.ts
@@ -0,0 +1,83 @@
+import { expect } from "chai";
+import { createManualClock } from "oleandergap-utils";
+import { createGate, defaultGateOptions, type GateOptions, type QueueOrder } from "../index.js";
+
+const SLOTS = 12;
+const SERVICE_MS = 100;
+const OBJECTIVE_MS = 300;
+const DEADLINE_MS = 1000;
+const STEP_MS = 5;
+
+interface Played {
+    readonly offered: number;
+    /** Answered within the objective, and later. */
+    readonly inTime: number;
+    readonly late: number;
+    /** Longest time that a refused request was held. */
+    readonly longestHeldMs: number;
+}
+
+/** Offers `rate` times what the target can do for `durationMs`, evenly spaced. */
+const play = async (rate: number, durationMs: number, queueOrder: QueueOrder): Promise<Played> => {
+    const clock = createManualClock();
+    const options: GateOptions = { ...defaultGateOptions, queueOrder, fairShare: "partners" };
+    const limit = { concurrency: 100, queue: 500, timeoutMs: 1000, retryRatio: 0.1 };
+    const gate = createGate({ clock, slots: SLOTS, limit, options });
+    const { signal } = new AbortController();
+    const counts = { offered: 0, inTime: 0, late: 0, longestHeldMs: 0 };
+
+    const ask = async (): Promise<void> => {
+        const at = clock.monotonic();
+        counts.offered += 1;
+        const objective = queueOrder === "objectiveFirst" ? at + OBJECTIVE_MS : undefined;
+        const admission = await gate.admit({
+            partner: "kushiro", service: "desk", deadline: at + DEADLINE_MS, objective, signal,
+        });
+        if (admission._tag === "Left") {
+            counts.longestHeldMs = Math.max(counts.longestHeldMs, clock.monotonic() - at);
+            return;
+        }
+        await clock.sleep(SERVICE_MS, signal);
+        admission.right.release("Answered");
+        const isInTime = clock.monotonic() - at <= OBJECTIVE_MS;
+        counts.inTime += isInTime ? 1 : 0;
+        counts.late += isInTime ? 0 : 1;
+    };
+
+    const perStep = (rate * SLOTS * STEP_MS) / SERVICE_MS;
+    let due = 0;
+    for (let time = 0; time < durationMs; time += STEP_MS) {
+        for (due += perStep; due >= 1; due -= 1) {
+            void ask();
+        }
+        await clock.advance(STEP_MS);
+    }
+    await clock.advance(2 * DEADLINE_MS);
+    return counts;
+};
+
+const capacityOf = (durationMs: number): number => (durationMs * SLOTS) / SERVICE_MS;
+
+describe("createGate with objectives", () => {
+    it("answers in time what the target can do when twice as much is offered", async () => {
+        // Symptom: a target is busy all the time, and hardly anybody is answered in time.
+        // Sequence: for seconds, twice as many requests arrive as the target can run.
+        // Cause: a queue by arrival is as long as the deadline allows, and each request waits through all of it.
+        const byArrival = await play(2, 5000, "oldestFirst");
+        const byObjective = await play(2, 5000, "objectiveFirst");
+        expect(byArrival.inTime).to.be.below(0.2 * capacityOf(5000));
+        expect(byObjective.inTime).to.be.above(0.9 * capacityOf(5000));
+        expect(byObjective.longestHeldMs).to.be.below(OBJECTIVE_MS);
+    });
+
+    it("serves late what came in a short burst, when there is room after it", async () => {
+        const burst = await play(4, 400, "objectiveFirst");
+        expect(burst.late).to.be.above(0);
+        expect(burst.inTime).to.be.above(0.8 * (burst.offered - burst.late) * 0.5);
+    });
+
+    it("refuses nobody while the target can do what is offered", async () => {
+        const calm = await play(0.9, 3000, "objectiveFirst");
+        expect(calm.inTime).to.equal(calm.offered);
+    });
+});
--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -17,6 +17,8 @@
     readonly kind?: string;
     /** Time by which the answer must be complete, on the monotonic clock. */
     readonly deadline: Milliseconds;
+    /** Time until which an answer is worth most, on the monotonic clock; absent when all answers are alike. */
+    readonly objective?: Milliseconds | undefined;
     /** Aborts when the caller hangs up; a waiting request then leaves the queue at once. */
     readonly signal: AbortSignal;
 }
--- a/packages/oleandergap-gate/src/fairQueue.ts
+++ b/packages/oleandergap-gate/src/fairQueue.ts
@@ -12,11 +12,14 @@
 /** What the queue needs to know of a waiting request. */
 export interface Waiting {
     readonly deadline: Milliseconds;
+    /** Time until which an answer is worth most; the deadline when none is. */
+    readonly objective: Milliseconds;
 }
 
 /** One flow's running and waiting requests. It exists only while it has any. */
 export interface Flow<Item extends Waiting> {
     readonly key: string;
+    readonly caller: string;
     /** Flows of a lower number start first. */
     readonly priority: number;
     readonly waiting: Item[];
@@ -38,16 +41,18 @@
     readonly countAhead: (flow: Flow<Item>) => number;
     /** Makes room for a request of `flow` in a full queue by taking the newest of a flow that holds more of it. */
     readonly takeExcess: (flow: Flow<Item>) => Item | undefined;
+    /** Takes out all waiting requests that `isWanted` names. */
+    readonly takeAll: (isWanted: (item: Item, flow: Flow<Item>) => boolean) => readonly Item[];
     readonly markStarted: (flow: Flow<Item>) => void;
     readonly markEnded: (flow: Flow<Item>) => void;
     /** Forgets a flow that neither runs nor waits. */
     readonly dropIfIdle: (flow: Flow<Item>) => void;
 }
 
-const indexOfEarliestDeadline = (waiting: readonly Waiting[]): number => {
+const indexOfEarliest = (waiting: readonly Waiting[], time: "deadline" | "objective"): number => {
     let best = 0;
     for (let index = 1; index < waiting.length; index++) {
-        if ((waiting[index]?.deadline ?? Infinity) < (waiting[best]?.deadline ?? Infinity)) {
+        if ((waiting[index]?.[time] ?? Infinity) < (waiting[best]?.[time] ?? Infinity)) {
             best = index;
         }
     }
@@ -59,7 +64,9 @@
         case "newestFirst":
             return waiting.pop();
         case "deadlineFirst":
-            return waiting.splice(indexOfEarliestDeadline(waiting), 1)[0];
+            return waiting.splice(indexOfEarliest(waiting, "deadline"), 1)[0];
+        case "objectiveFirst":
+            return waiting.splice(indexOfEarliest(waiting, "objective"), 1)[0];
         default:
             return waiting.shift();
     }
@@ -129,7 +136,7 @@
             const key = `${priority} ${caller}`;
             let flow = flows.get(key);
             if (flow === undefined) {
-                flow = { key, priority, waiting: [], running: 0, servedAt: starts };
+                flow = { key, caller, priority, waiting: [], running: 0, servedAt: starts };
                 flows.set(key, flow);
             }
             return flow;
@@ -180,6 +187,18 @@
             size -= 1;
             return other.waiting.pop();
         },
+        takeAll: (isWanted) => {
+            const taken: Item[] = [];
+            for (const flow of [...flows.values()]) {
+                const wanted = flow.waiting.filter((item) => isWanted(item, flow));
+                if (wanted.length > 0) {
+                    flow.waiting.splice(0, flow.waiting.length, ...flow.waiting.filter((item) => !wanted.includes(item)));
+                    taken.push(...wanted);
+                }
+            }
+            size -= taken.length;
+            return taken;
+        },
         dropIfIdle,
         markStarted: (flow) => {
             flow.running += 1;
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -1,10 +1,12 @@
 /** Admission in front of one target: slots, a bounded queue, fair share and drain. */
-import type { Clock, Limit } from "oleandergap-types";
+import type { Clock, Limit, Milliseconds } from "oleandergap-types";
 import { USUAL_KIND, type AdmissionRequest, type Gate } from "./admission.js";
 import { createDrain } from "./drain.js";
 import { createFairQueue, type Flow } from "./fairQueue.js";
 import { createForecast, type GateState } from "./forecast.js";
 import { defaultGateOptions, type GateOptions } from "./options.js";
+import { createLateRequests } from "./lateRequests.js";
+import { createOfferedLoad } from "./offeredLoad.js";
 import { createRefusals, type Decision } from "./refusals.js";
 import { createSlots } from "./slots.js";
 import { createEnqueue, type Waiter } from "./waitingRequests.js";
@@ -18,6 +20,12 @@
     readonly options?: GateOptions;
 }
 
+/** Shortest time between two looks for waiting requests without hope. */
+const LOOK_INTERVAL_MS: Milliseconds = 20;
+
+/** Each priority has two ranks: requests that can be in time, and then those that cannot. */
+const RANKS_PER_PRIORITY = 2;
+
 /** Creates the gate of one target; it starts open. */
 export const createGate = ({
     clock,
@@ -29,6 +37,7 @@
     const forecast = createForecast(options, clock.monotonic());
     let capacity = Math.min(limit.concurrency, announcedSlots);
     let queueLimit = limit.queue;
+    let lookedAt = Number.NEGATIVE_INFINITY;
 
     const onFree = (): void => {
         startWaiting();
@@ -40,9 +49,38 @@
 
     const refusals = createRefusals({ clock, options, forecast, state });
 
+    const offered = createOfferedLoad();
+    const late = createLateRequests({ forecast, offered, state });
+
+    const flowOf = ({ partner, service, priority = 0 }: AdmissionRequest, isLate: boolean): Flow<Waiter> =>
+        queue.flowOf(
+            options.fairShare === "partners" ? partner : `${partner}/${service}`,
+            RANKS_PER_PRIORITY * priority + (isLate ? 1 : 0),
+        );
+
     const drain = createDrain(() => slots.running() === 0 && queue.size() === 0);
 
+    const isLateFlow = ({ priority }: Flow<Waiter>): boolean => priority % RANKS_PER_PRIORITY === 1;
+
+    /** A request that has become late in the queue leaves its place to one that is in time. */
+    const demote = (waiter: Waiter, lateFlow: Flow<Waiter>, now: Milliseconds): void => {
+        queue.dropIfIdle(waiter.flow);
+        const missing = late.missingTime(waiter, queue.countAhead(lateFlow), now);
+        if (missing > 0) {
+            queue.dropIfIdle(lateFlow);
+            waiter.settle(refusals.forCapacity("DeadlineTooShort", missing));
+            return;
+        }
+        waiter.flow = lateFlow;
+        queue.add(lateFlow, waiter, now);
+    };
+
     const startOne = (waiter: Waiter): void => {
+        const now = clock.monotonic();
+        if (!isLateFlow(waiter.flow) && queue.size() > 0 && now + forecast.serviceTime(waiter.kind) > waiter.objective) {
+            demote(waiter, queue.flowOf(waiter.flow.caller, waiter.flow.priority + 1), now);
+            return;
+        }
         if (clock.monotonic() + forecast.serviceTime(waiter.kind) <= waiter.deadline) {
             waiter.settle(slots.take(waiter.flow, waiter.kind, waiter.queuedAt));
             return;
@@ -100,17 +138,46 @@
         return request.deadline <= clock.monotonic() ? refusals.forCapacity("DeadlinePassed") : undefined;
     };
 
+    /**
+     * Late requests that were let wait before the load rose would be held until their deadlines, since those in time
+     * go first; they are told as soon as that shows.
+     */
+    const refuseHopeless = (now: Milliseconds): void => {
+        if (now - lookedAt < LOOK_INTERVAL_MS) {
+            return;
+        }
+        lookedAt = now;
+        const hopeless = queue.takeAll((waiter, flow) => isLateFlow(flow) && late.missingTime(waiter, 0, now) > 0);
+        for (const waiter of hopeless) {
+            queue.dropIfIdle(waiter.flow);
+            waiter.settle(refusals.forCapacity("DeadlineTooShort"));
+        }
+    };
+
+    const refuseLate = (request: AdmissionRequest, flow: Flow<Waiter>, now: Milliseconds): Decision | undefined => {
+        const missing = late.missingTime(request, queue.countAhead(flow), now);
+        return missing > 0 ? refusals.forCapacity("DeadlineTooShort", missing) : undefined;
+    };
+
     const decide = (request: AdmissionRequest): Decision | Promise<Decision> => {
         const refusalAtOnce = refuseUnfit(request);
         if (refusalAtOnce !== undefined) {
             return refusalAtOnce;
         }
-        const flow = queue.flowOf(`${request.partner}/${request.service}`, request.priority ?? 0);
-        const refusalForDeadline = refusals.forDeadline(request, queue.countAhead(flow));
+        const now = clock.monotonic();
+        offered.note(now);
+        refuseHopeless(now);
+        const timely = flowOf(request, false);
+        const refusalForDeadline = refusals.forDeadline(request, queue.countAhead(timely));
         if (refusalForDeadline === undefined && !slots.isFull()) {
-            return slots.take(flow, request.kind ?? USUAL_KIND, clock.monotonic());
+            return slots.take(timely, request.kind ?? USUAL_KIND, now);
+        }
+        const isLate = late.isLate(request, queue.countAhead(timely), now);
+        if (isLate) {
+            queue.dropIfIdle(timely);
         }
-        const refusal = refusalForDeadline ?? refuseForRoom(flow);
+        const flow = isLate ? flowOf(request, true) : timely;
+        const refusal = refusalForDeadline ?? (isLate ? refuseLate(request, flow, now) : undefined) ?? refuseForRoom(flow);
         if (refusal === undefined) {
             return enqueue(request, flow);
         }
--- /dev/null
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -0,0 +1,48 @@
+/**
+ * What becomes of requests that would be answered after their objective, the time until which an answer is worth most.
+ *
+ * In a queue by arrival, a target that is offered more than it can do answers everybody late: each request waits behind
+ * others that are late already, and one would see it busy all the time with next to no answer in time. Requests that
+ * can still be in time therefore go first. Those that cannot run when the others leave room; if they do not, they are
+ * refused at once instead of being held until their deadlines.
+ */
+import type { Milliseconds } from "oleandergap-types";
+import { USUAL_KIND, type AdmissionRequest } from "./admission.js";
+import type { Forecast, GateState } from "./forecast.js";
+import type { OfferedLoad } from "./offeredLoad.js";
+
+/** Part of the target's time that has to be left over before a late request waits for it. */
+const MINIMUM_SPARE = 0.05;
+
+/** The times that a decision depends on; monotonic. */
+export type Timing = Pick<AdmissionRequest, "deadline" | "objective" | "kind">;
+
+export interface LateRequestsDependencies {
+    readonly forecast: Forecast;
+    readonly offered: OfferedLoad;
+    readonly state: () => GateState;
+}
+
+export interface LateRequests {
+    /** Whether a request with `ahead` others before it would be answered too late to be worth most. */
+    readonly isLate: (timing: Timing, ahead: number, now: Milliseconds) => boolean;
+    /** Time by which a late request misses its deadline; 0 or less if it had better wait. */
+    readonly missingTime: (timing: Timing, ahead: number, now: Milliseconds) => Milliseconds;
+}
+
+export const createLateRequests = ({ forecast, offered, state }: LateRequestsDependencies): LateRequests => {
+    const serviceTime = ({ kind = USUAL_KIND }: Timing): Milliseconds => forecast.serviceTime(kind);
+
+    return {
+        isLate: (timing, ahead, now) =>
+            timing.objective !== undefined &&
+            now + forecast.wait(state(), ahead, now) + serviceTime(timing) > timing.objective,
+        missingTime: (timing, ahead, now) => {
+            const current = state();
+            const wait = forecast.wait(current, ahead, now);
+            const spare = 1 - offered.utilisation(now, forecast.interval(current));
+            const needed = spare < MINIMUM_SPARE ? wait / MINIMUM_SPARE : wait / spare;
+            return now + needed + serviceTime(timing) - timing.deadline;
+        },
+    };
+};
--- a/packages/oleandergap-gate/src/options.ts
+++ b/packages/oleandergap-gate/src/options.ts
@@ -2,13 +2,18 @@
 import { z } from "zod";
 
 /** Which waiting request of a caller starts next. */
-export const queueOrderSchema = z.enum(["oldestFirst", "newestFirst", "deadlineFirst", "adaptive"]);
+export const queueOrderSchema = z.enum(["oldestFirst", "newestFirst", "deadlineFirst", "objectiveFirst", "adaptive"]);
 export type QueueOrder = z.infer<typeof queueOrderSchema>;
 
+/** Between whom the target's time is shared evenly: the callers' services of each partner, or the partners. */
+export const fairShareSchema = z.enum(["callers", "partners"]);
+export type FairShare = z.infer<typeof fairShareSchema>;
+
 /** The section `gate` of the daemon's settings. */
 export const gateOptionsSchema = z.strictObject({
     /** Order within one caller's share of the queue; docs/LOAD.md has the figures behind the default. */
     queueOrder: queueOrderSchema.default("oldestFirst"),
+    fairShare: fairShareSchema.default("callers"),
     /** Service time to assume for `retryAfterMs` until the target has answered a few requests, in milliseconds. */
     assumedServiceTimeMs: z.number().min(1).max(60_000).default(50),
     /** Longest `retryAfterMs` that a refusal names, in milliseconds. */
--- a/packages/oleandergap-gate/src/waitingRequests.ts
+++ b/packages/oleandergap-gate/src/waitingRequests.ts
@@ -9,7 +9,8 @@
 
 /** A waiting request; `settle` ends its wait. */
 export interface Waiter extends Waiting {
-    readonly flow: Flow<Waiter>;
+    /** Changes when a request that was in time becomes late. */
+    flow: Flow<Waiter>;
     readonly kind: string;
     readonly queuedAt: Milliseconds;
     readonly settle: (decision: Decision) => void;
@@ -40,7 +41,7 @@
         let cancelTimer: CancelTimer = () => undefined;
 
         const leave = (answer: () => Decision): void => {
-            if (queue.remove(flow, waiter)) {
+            if (queue.remove(waiter.flow, waiter)) {
                 waiter.settle(answer());
                 onLeave();
             }
@@ -51,6 +52,7 @@
             flow,
             kind: request.kind ?? USUAL_KIND,
             deadline: request.deadline,
+            objective: request.objective ?? request.deadline,
             queuedAt: clock.monotonic(),
             settle: (decision) => {
                 cancelTimer();
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -23,6 +23,7 @@
     CALLER_HEADER,
     IDEMPOTENT_HEADER,
     KIND_HEADER,
+    OBJECTIVE_HEADER,
     PRIORITY_HEADER,
     readRequestHeader,
     selectRequestHeaders,
@@ -89,6 +90,13 @@
     return told !== undefined && PRIORITY_PATTERN.test(told) ? Number(told) : 0;
 };
 
+const OBJECTIVE_PATTERN = /^-?\d{1,9}$/;
+
+const readObjective = (request: IncomingMessage, now: Milliseconds): Milliseconds | undefined => {
+    const told = readRequestHeader(request, OBJECTIVE_HEADER);
+    return told !== undefined && OBJECTIVE_PATTERN.test(told) ? now + Number(told) : undefined;
+};
+
 type GateHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
 
 const readHead = (
@@ -105,6 +113,7 @@
         return timeout;
     }
     const method = request.method ?? "";
+    const now = clock.monotonic();
     return either.right({
         service,
         caller: parseService(readRequestHeader(request, CALLER_HEADER)) ?? service,
@@ -117,7 +126,8 @@
         kind: readRequestHeader(request, KIND_HEADER) ?? "",
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
-        deadline: clock.monotonic() + timeout.right,
+        deadline: now + timeout.right,
+        objective: readObjective(request, now),
     });
 };
 
--- a/packages/oleandergap-node/src/gate/gateRequest.ts
+++ b/packages/oleandergap-node/src/gate/gateRequest.ts
@@ -26,6 +26,8 @@
     /** Id of the attempt. */
     readonly requestId: string;
     readonly deadline: Milliseconds;
+    /** Time until which an answer is worth most; undefined without a route. */
+    readonly objective: Milliseconds | undefined;
     readonly signal: AbortSignal;
     /** The gate let the request in; its body may follow. */
     readonly onAdmitted: () => void;
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -135,6 +135,7 @@
             priority: request.priority,
             kind: request.kind,
             deadline: request.deadline,
+            objective: request.objective,
             signal: request.signal,
         });
         if (either.isLeft(admission)) {
--- a/packages/oleandergap-node/src/gateway/callerRequest.ts
+++ b/packages/oleandergap-node/src/gateway/callerRequest.ts
@@ -37,6 +37,8 @@
     readonly maximumTargets: number | undefined;
     readonly idempotencyKey: string | undefined;
     readonly deadline: Milliseconds;
+    /** Time until which an answer is worth most; undefined without a route. */
+    readonly objective: Milliseconds | undefined;
 }
 
 const MAX_HOST_LENGTH = 2 * MAX_NAME_LENGTH + ".:65535".length;
@@ -185,5 +187,6 @@
         maximumTargets: route?.maxAttempts,
         idempotencyKey: idempotent ? undefined : idempotencyKey,
         deadline: receivedAt + chooseTimeout(destination.right, timeout.right),
+        objective: route === undefined ? undefined : receivedAt + route.targetLatencyMs,
     });
 };
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -20,7 +20,13 @@
 import type { ServeAtGate } from "../gate/gateRequest.js";
 import { discardBody, observeBody, readAnswerHeader, type Answer } from "../http/answer.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
-import { CALLER_HEADER, IDEMPOTENT_HEADER, KIND_HEADER, PRIORITY_HEADER } from "../http/headers.js";
+import {
+    CALLER_HEADER,
+    IDEMPOTENT_HEADER,
+    KIND_HEADER,
+    OBJECTIVE_HEADER,
+    PRIORITY_HEADER,
+} from "../http/headers.js";
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
 import type { RequestBody } from "../http/requestBody.js";
@@ -104,6 +110,7 @@
             idempotencyKey: request.idempotencyKey,
             requestId: dependencies.nextAttemptId(),
             deadline,
+            objective: request.objective,
             signal,
             onAdmitted: () => undefined,
         });
@@ -121,6 +128,9 @@
             PRIORITY_HEADER, String(request.priority),
             KIND_HEADER, request.kind,
         ];
+        if (request.objective !== undefined) {
+            headers.push(OBJECTIVE_HEADER, String(Math.floor(request.objective - clock.monotonic())));
+        }
         if (caller !== undefined) {
             headers.push(CALLER_HEADER, formatServiceReference(caller));
         }
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -32,6 +32,9 @@
 /** Request between nodes: the name of the route, for forecasts of the time that the request takes. */
 export const KIND_HEADER = "oleandergap-kind";
 
+/** Request between nodes: milliseconds until an answer is worth less, negative when that has passed. */
+export const OBJECTIVE_HEADER = "oleandergap-objective-ms";
+
 const NO_OPTIONS: readonly string[] = [];
 
 /** Names that a `Connection` header lists are headers of that connection as well. */
