--- a/packages/oleandergap-gate/src/__tests__/objectives.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/objectives.test.ts
@@ -80,4 +80,38 @@
         const calm = await play(0.9, 3000, "objectiveFirst");
         expect(calm.inTime).to.equal(calm.offered);
     });
+
+    it("takes in a request with a close objective however many with later ones wait", async () => {
+        // Symptom: calls of running targets are refused at a busy target, and the requests that made them fail.
+        // Sequence: requests with an objective of 400 ms fill the queue; a call with one of 100 ms arrives.
+        // Cause: its wait is forecast as if it started after all that arrived before it.
+        const clock = createManualClock();
+        const options: GateOptions = { ...defaultGateOptions, queueOrder: "objectiveFirst", fairShare: "partners" };
+        const limit = { concurrency: 100, queue: 500, timeoutMs: 1000, retryRatio: 0.1 };
+        const gate = createGate({ clock, slots: 2, limit, options });
+        const ask = (kind: string, objectiveMs: number, timeoutMs: number): ReturnType<typeof gate.admit> => {
+            const now = clock.monotonic();
+            const { signal } = new AbortController();
+            const [objective, deadline] = [now + objectiveMs, now + timeoutMs];
+            return gate.admit({ partner: "kushiro", service: "desk", kind, objective, deadline, signal });
+        };
+        for (let count = 0; count < 8; count++) {
+            for (const [kind, serviceMs] of [["lodge", 60], ["call", 20]] as const) {
+                const admission = await ask(kind, 10_000, 10_000);
+                await clock.advance(serviceMs);
+                if (admission._tag === "Right") {
+                    admission.right.release("Answered");
+                }
+            }
+        }
+        const running = [await ask("lodge", 400, 1200), await ask("lodge", 400, 1200)];
+        const lodges = Array.from({ length: 8 }, () => ask("lodge", 400, 1200));
+        const call = ask("call", 100, 250);
+        await clock.advance(10);
+        if (running[0]?._tag === "Right") {
+            running[0].right.release("Answered");
+        }
+        expect((await call)._tag).to.equal("Right");
+        expect(gate.load().queued).to.equal(lodges.length);
+    });
 });
--- a/packages/oleandergap-gate/src/fairQueue.ts
+++ b/packages/oleandergap-gate/src/fairQueue.ts
@@ -37,8 +37,8 @@
     readonly remove: (flow: Flow<Item>, item: Item) => boolean;
     /** Takes out the request that starts next. */
     readonly takeNext: (now: Milliseconds) => Item | undefined;
-    /** Requests that start before a new one of `flow` would. */
-    readonly countAhead: (flow: Flow<Item>) => number;
+    /** Requests that start before a new one of `flow` with these times would. */
+    readonly countAhead: (flow: Flow<Item>, times: Waiting) => number;
     /** Makes room for a request of `flow` in a full queue by taking the newest of a flow that holds more of it. */
     readonly takeExcess: (flow: Flow<Item>) => Item | undefined;
     /** Takes out all waiting requests that `isWanted` names. */
@@ -72,6 +72,18 @@
     }
 };
 
+/** Requests of the own flow that start before a new one; by arrival, all of them. */
+const countEarlier = (waiting: readonly Waiting[], times: Waiting, order: QueueOrder): number => {
+    switch (order) {
+        case "deadlineFirst":
+            return waiting.filter(({ deadline }) => deadline <= times.deadline).length;
+        case "objectiveFirst":
+            return waiting.filter(({ objective }) => objective <= times.objective).length;
+        default:
+            return waiting.length;
+    }
+};
+
 const startsBefore = <Item extends Waiting>(left: Flow<Item>, right: Flow<Item>): boolean => {
     if (left.priority !== right.priority) {
         return left.priority < right.priority;
@@ -166,8 +178,8 @@
             size -= 1;
             return takeInOrder(flow.waiting, currentOrder(now));
         },
-        countAhead: (flow) => {
-            const own = flow.waiting.length;
+        countAhead: (flow, times) => {
+            const own = countEarlier(flow.waiting, times, order);
             let ahead = own;
             for (const other of flows.values()) {
                 if (other.priority < flow.priority) {
@@ -192,7 +204,8 @@
             for (const flow of [...flows.values()]) {
                 const wanted = flow.waiting.filter((item) => isWanted(item, flow));
                 if (wanted.length > 0) {
-                    flow.waiting.splice(0, flow.waiting.length, ...flow.waiting.filter((item) => !wanted.includes(item)));
+                    const kept = flow.waiting.filter((item) => !wanted.includes(item));
+                    flow.waiting.splice(0, flow.waiting.length, ...kept);
                     taken.push(...wanted);
                 }
             }
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -2,7 +2,7 @@
 import type { Clock, Limit, Milliseconds } from "oleandergap-types";
 import { USUAL_KIND, type AdmissionRequest, type Gate } from "./admission.js";
 import { createDrain } from "./drain.js";
-import { createFairQueue, type Flow } from "./fairQueue.js";
+import { createFairQueue, type Flow, type Waiting } from "./fairQueue.js";
 import { createForecast, type GateState } from "./forecast.js";
 import { defaultGateOptions, type GateOptions } from "./options.js";
 import { createLateRequests } from "./lateRequests.js";
@@ -26,6 +26,8 @@
 /** Each priority has two ranks: requests that can be in time, and then those that cannot. */
 const RANKS_PER_PRIORITY = 2;
 
+const timesOf = ({ deadline, objective = deadline }: AdmissionRequest): Waiting => ({ deadline, objective });
+
 /** Creates the gate of one target; it starts open. */
 export const createGate = ({
     clock,
@@ -65,7 +67,7 @@
     /** A request that has become late in the queue leaves its place to one that is in time. */
     const demote = (waiter: Waiter, lateFlow: Flow<Waiter>, now: Milliseconds): void => {
         queue.dropIfIdle(waiter.flow);
-        const missing = late.missingTime(waiter, queue.countAhead(lateFlow), now);
+        const missing = late.missingTime(waiter, queue.countAhead(lateFlow, waiter), now);
         if (missing > 0) {
             queue.dropIfIdle(lateFlow);
             waiter.settle(refusals.forCapacity("DeadlineTooShort", missing));
@@ -77,7 +79,8 @@
 
     const startOne = (waiter: Waiter): void => {
         const now = clock.monotonic();
-        if (!isLateFlow(waiter.flow) && queue.size() > 0 && now + forecast.serviceTime(waiter.kind) > waiter.objective) {
+        const hasBecomeLate = !isLateFlow(waiter.flow) && now + forecast.serviceTime(waiter.kind) > waiter.objective;
+        if (hasBecomeLate && queue.size() > 0) {
             demote(waiter, queue.flowOf(waiter.flow.caller, waiter.flow.priority + 1), now);
             return;
         }
@@ -155,7 +158,7 @@
     };
 
     const refuseLate = (request: AdmissionRequest, flow: Flow<Waiter>, now: Milliseconds): Decision | undefined => {
-        const missing = late.missingTime(request, queue.countAhead(flow), now);
+        const missing = late.missingTime(request, queue.countAhead(flow, timesOf(request)), now);
         return missing > 0 ? refusals.forCapacity("DeadlineTooShort", missing) : undefined;
     };
 
@@ -168,16 +171,18 @@
         offered.note(now);
         refuseHopeless(now);
         const timely = flowOf(request, false);
-        const refusalForDeadline = refusals.forDeadline(request, queue.countAhead(timely));
+        const ahead = queue.countAhead(timely, timesOf(request));
+        const refusalForDeadline = refusals.forDeadline(request, ahead);
         if (refusalForDeadline === undefined && !slots.isFull()) {
             return slots.take(timely, request.kind ?? USUAL_KIND, now);
         }
-        const isLate = late.isLate(request, queue.countAhead(timely), now);
+        const isLate = late.isLate(request, ahead, now);
         if (isLate) {
             queue.dropIfIdle(timely);
         }
         const flow = isLate ? flowOf(request, true) : timely;
-        const refusal = refusalForDeadline ?? (isLate ? refuseLate(request, flow, now) : undefined) ?? refuseForRoom(flow);
+        const refusalForLateness = isLate ? refuseLate(request, flow, now) : undefined;
+        const refusal = refusalForDeadline ?? refusalForLateness ?? refuseForRoom(flow);
         if (refusal === undefined) {
             return enqueue(request, flow);
         }
--- a/packages/oleandergap-node/src/gateway/ownerRouting.ts
+++ b/packages/oleandergap-node/src/gateway/ownerRouting.ts
@@ -43,6 +43,7 @@
 
 const createOwnerPicker = (owner: TargetMember): TargetPicker<TargetMember> => ({
     pick: ({ exclude }) => exclude.includes(owner.nodeId) ? undefined : createOwnerPick(owner),
+    hasRoom: () => false,
     retryAfter: () => OWNER_RETRY_AFTER_MS,
     zones: () => [],
 });
--- a/packages/oleandergap-routing/src/__tests__/placement.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/placement.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { answered, connectFailed, countFor, createPickerHarness, createRow, createTargets } from "./pickerHarness.js";
+import { answered, connectFailed, countFor, createPickerHarness, createRow, createTargets, testService } from "./pickerHarness.js";
 
 const byLoad = { ...createRow({}), placement: "load" as const };
 const targets = [...createTargets("hall-a", 2), ...createTargets("hall-b", 1), ...createTargets("hall-c", 3)];
@@ -45,4 +45,15 @@
         const counts = await harness.send(200);
         expect(counts.get("hall-a-0") ?? 0).to.be.at.most(20);
     });
+
+    it("knows whether a target that was not tried has a free slot", () => {
+        const harness = createPickerHarness(createTargets("hall-a", 2), byLoad);
+        const request = { service: testService, row: byLoad, targets: createTargets("hall-a", 2), canResend: true };
+        const hasRoom = (exclude: readonly string[]): boolean => harness.picker.hasRoom({ ...request, exclude });
+        const full = { inFlight: 10, queued: 4, capacity: 10, expectedWaitMs: 80 };
+        harness.pick(["hall-a-1"])?.report({ kind: "Refused", reason: "QueueFull" }, full);
+        expect(hasRoom(["hall-a-0"])).to.equal(true);
+        expect(hasRoom(["hall-a-1"])).to.equal(false);
+        expect(harness.picker.hasRoom({ ...request, row: createRow({ "hall-a": 1 }), exclude: [] })).to.equal(false);
+    });
 });
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -15,7 +15,7 @@
 } from "./requestExecution.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { mayRetry } from "./retryDecision.js";
-import type { AttemptOutcome, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
+import type { AttemptOutcome, PickRequest, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
 
 /** What a router works with. */
 export interface RequestRouterDependencies<Target extends RoutableTarget> {
@@ -68,10 +68,10 @@
         return clock.monotonic() >= deadline ? refuse("DeadlinePassed") : undefined;
     };
 
-    const pickNext = (
+    const toPickRequest = (
         { service, row, targets, idempotent, replayable, kind }: RequestExecution<Target>,
         history: AttemptHistory,
-    ): TargetPick<Target> | undefined => picker.pick({
+    ): PickRequest<Target> => ({
         service,
         row,
         targets,
@@ -130,6 +130,7 @@
         maximumAttempts: options.maximumAttempts,
         hasTargetsLeft: history.targetsReached() < (execution.maximumTargets ?? Number.POSITIVE_INFINITY),
         shortages: history.shortages(),
+        hasRoomElsewhere: () => picker.hasRoom(toPickRequest(execution, history)),
         budget,
     });
 
@@ -146,7 +147,7 @@
             if (obstacle !== undefined) {
                 return giveUp(obstacle);
             }
-            const pick = pickNext(execution, history);
+            const pick = picker.pick(toPickRequest(execution, history));
             if (pick === undefined) {
                 return giveUp(history.lastFailure() ?? refuse("NoTarget"));
             }
--- a/packages/oleandergap-routing/src/retryDecision.ts
+++ b/packages/oleandergap-routing/src/retryDecision.ts
@@ -19,6 +19,8 @@
     readonly hasTargetsLeft: boolean;
     /** Attempts of this request that were refused for want of capacity. */
     readonly shortages: number;
+    /** Whether another target is believed to have a free slot. */
+    readonly hasRoomElsewhere: () => boolean;
     readonly budget: RetryBudget;
 }
 
@@ -53,11 +55,18 @@
     }
 };
 
-const costOf = (failure: RequestFailure): RetryCost => {
+/**
+ * A refusal by the gate itself has cost its target nothing. Where another target has a free slot, going there is no
+ * repeat; counted as one, requests would be refused by a full target while others are idle.
+ */
+const costOf = ({ failure, hasRoomElsewhere }: RetryQuestion): RetryCost => {
     if (failure.kind === "ConnectFailed") {
         return "Reroute";
     }
-    return failure.kind === "Refused" && !isShortage(failure.reason) ? "Reroute" : "Repeat";
+    if (failure.kind !== "Refused" || failure.reason === "TargetBusy") {
+        return "Repeat";
+    }
+    return isShortage(failure.reason) && !hasRoomElsewhere() ? "Repeat" : "Reroute";
 };
 
 /** Takes a token from the budget when it answers true. */
@@ -67,5 +76,5 @@
     if (!mayGoOn || shortages >= REFUSALS_OF_OVERLOAD) {
         return false;
     }
-    return !isFinal(failure) && isSafe(question) && budget.tryWithdraw(costOf(failure));
+    return !isFinal(failure) && isSafe(question) && budget.tryWithdraw(costOf(question));
 };
--- a/packages/oleandergap-routing/src/target.ts
+++ b/packages/oleandergap-routing/src/target.ts
@@ -74,6 +74,11 @@
 export interface TargetPicker<Target extends RoutableTarget> {
     /** Chooses the next target, undefined when the table and `exclude` leave none. */
     readonly pick: (request: PickRequest<Target>) => TargetPick<Target> | undefined;
+    /**
+     * Whether a target that the request has not tried is believed to have a free slot. Only known where targets are
+     * placed by load; with weights the share of each zone decides, whatever room there is.
+     */
+    readonly hasRoom: (request: PickRequest<Target>) => boolean;
     /** When a caller had better come back after no target could be reached. */
     readonly retryAfter: (service: ServiceReference) => Milliseconds;
     /** What the picker thinks of a service's zones, for metrics. */
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -8,7 +8,7 @@
 import { defaultRoutingOptions, type PickerOptions } from "./options.js";
 import { createServiceState, refreshService, type ServiceState } from "./serviceState.js";
 import type { PickRequest, RoutableTarget, TargetPick, TargetPicker, ZoneSummary } from "./target.js";
-import { markBack, markSent, type TargetState } from "./targetState.js";
+import { markBack, markSent, scoreTarget, type TargetState } from "./targetState.js";
 import { countTargets, endSilence, takeProbe } from "./zoneCandidates.js";
 import { chooseZone } from "./zoneChoice.js";
 import { fadeSpill, noteZoneProbe, usualLatency, type ZoneState } from "./zoneState.js";
@@ -16,6 +16,9 @@
 /** A target that owes answers for this many usual latencies counts as silent, if that is longer than the setting. */
 const SILENCE_FACTOR = 10;
 
+/** Expected load per slot up to which one request more finds a free slot. */
+const FULL_LOAD = 1;
+
 /** What a picker works with. */
 export interface TargetPickerDependencies {
     /** Undefined where no target stands on this node's VM. */
@@ -49,6 +52,17 @@
         return service;
     };
 
+    const createContext = (zone: ZoneState<Target>, exclude: readonly NodeId[], now: Milliseconds): DrawContext => ({
+        now,
+        random,
+        exclude,
+        slowStartMs: options.slowStartMs,
+        loadReportLifetimeMs: options.loadReportLifetimeMs,
+        silenceMs: Math.max(options.silenceMs, SILENCE_FACTOR * zone.typicalLatencyMs),
+        missedSignsMs: options.missedSignsMs,
+        typicalLatencyMs: zone.typicalLatencyMs,
+    });
+
     const pickInZone = (
         zone: ZoneState<Target>,
         near: readonly TargetState<Target>[],
@@ -56,16 +70,7 @@
         now: Milliseconds,
     ): Choice<Target> | undefined => {
         const probed = takeProbe(zone.candidates, now, canResend, exclude);
-        const context: DrawContext = {
-            now,
-            random,
-            exclude,
-            slowStartMs: options.slowStartMs,
-            loadReportLifetimeMs: options.loadReportLifetimeMs,
-            silenceMs: Math.max(options.silenceMs, SILENCE_FACTOR * zone.typicalLatencyMs),
-            missedSignsMs: options.missedSignsMs,
-            typicalLatencyMs: zone.typicalLatencyMs,
-        };
+        const context = createContext(zone, exclude, now);
         const state = probed ?? findNearTarget(near, nearness, context) ?? drawTarget(zone.candidates, context);
         return state === undefined ? undefined : { zone, state, isProbe: probed !== undefined };
     };
@@ -127,6 +132,18 @@
         return createPick(choice, now, request.kind ?? "");
     };
 
+    const hasRoom = (request: PickRequest<Target>): boolean => {
+        if (request.row.placement !== "load") {
+            return false;
+        }
+        const now = clock.monotonic();
+        return stateOf(request).zones.some((zone) => {
+            const context = createContext(zone, request.exclude, now);
+            return zone.candidates.open.some((state) =>
+                !request.exclude.includes(state.target.nodeId) && scoreTarget(state, context) <= FULL_LOAD);
+        });
+    };
+
     const summarise = ({ zone, candidates, spill, circuit }: ZoneState<Target>): ZoneSummary => ({
         zone,
         targets: countTargets(candidates),
@@ -137,6 +154,7 @@
 
     return {
         pick,
+        hasRoom,
         retryAfter: (service) => {
             const zones = services.get(formatServiceReference(service))?.zones ?? [];
             const now = clock.monotonic();
