--- a/packages/oleandergap-node/src/gate/signsOfLife.ts
+++ b/packages/oleandergap-node/src/gate/signsOfLife.ts
@@ -7,8 +7,11 @@
 import type { ServerResponse } from "node:http";
 import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
 
-/** Distance of two signs. Nodes take a connection for silent after several times as long. */
-export const SIGN_INTERVAL_MS: Milliseconds = 100;
+/**
+ * Distance of two signs. Nodes take a connection for silent after several times as long. Each sign wakes two processes;
+ * most requests end before the first one.
+ */
+export const SIGN_INTERVAL_MS: Milliseconds = 200;
 
 /** `writeEarlyHints` wants a link; this one points to nothing. */
 const WAITING_HINT = { link: "<>; rel=waiting" };
--- a/packages/oleandergap-routing/src/options.ts
+++ b/packages/oleandergap-routing/src/options.ts
@@ -28,8 +28,8 @@
     slowFactor: z.number().min(1.5).max(100).default(4),
     /** A target that owes answers and gave none for this long is avoided, in milliseconds. */
     silenceMs: z.number().min(10).max(600_000).default(1000),
-    /** The same for a target whose gate gives signs of life and owes one; several times their distance of 100 ms. */
-    missedSignsMs: z.number().min(10).max(600_000).default(250),
+    /** The same for a target whose gate gives signs of life and owes one; more than twice their distance of 200 ms. */
+    missedSignsMs: z.number().min(10).max(600_000).default(500),
     /**
      * Where targets are placed by load, one on the own VM or in the own zone is preferred while its expected load per
      * slot is at most this; 0 switches the preference off.
