Node, gate: answers cut by their connection, requests of callers that left, a verdict that covers both tries

Change: socket ends are watched before the client sees them; a second try's refusal never hides the first one's fate; a process that is behind reads what has arrived before it hands a request on.

--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
@@ -0,0 +1,74 @@
+import { expect } from "chai";
+import { createManualClock, createSystemClock } from "oleandergap-utils";
+import { createLoopLag } from "../http/loopLag.js";
+import { call, createAnnouncement, createCleanup, startGate, startRawTarget } from "./support.js";
+
+const HEAD = "HTTP/1.1 200 OK\r\nconnection: close\r\n";
+
+describe("answers that end with their connection", () => {
+    const cleanup = createCleanup();
+    const clock = createSystemClock();
+
+    afterEach(() => cleanup.run());
+
+    /** What a caller of the gate receives from a target that sends `text` and then ends the connection. */
+    const receive = async (text: string, end: "Reset" | "Finished"): Promise<{ whole: boolean; body: string }> => {
+        const target = await startRawTarget(cleanup.add, (socket) => {
+            socket.once("data", () => {
+                socket.write(text, () => {
+                    setTimeout(() => end === "Reset" ? socket.resetAndDestroy() : socket.end(), 20);
+                });
+            });
+        });
+        const gate = await startGate(cleanup.add, { clock });
+        gate.keeper.announce(createAnnouncement(target));
+        const headers = {
+            "oleandergap-service": "halloway/grant-filer",
+            "oleandergap-request-id": "a",
+            "oleandergap-timeout-ms": "5000",
+        };
+        const received = await call({ port: gate.port, path: "/", headers });
+        return { whole: received.whole, body: received.body.toString("utf8") };
+    };
+
+    // Symptom: a caller receives a part of a document, framed as all of it.
+    // Sequence: a target answers with `connection: close` and breaks off within the body.
+    // Cause: the HTTP client takes the end of such a connection for the end of the answer, whatever is missing.
+    it("does not pass on as whole what was reset or lacks its last chunk", async () => {
+        const chunked = `${HEAD}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n`;
+        expect((await receive(chunked, "Reset")).whole).to.equal(false);
+        expect((await receive(chunked, "Finished")).whole).to.equal(false);
+        expect((await receive(`${HEAD}\r\nhello`, "Reset")).whole).to.equal(false);
+        expect((await receive(`${HEAD}content-length: 9\r\n\r\nhello`, "Reset")).whole).to.equal(false);
+        expect((await receive(`${HEAD}content-length: 9\r\n\r\nhello`, "Finished")).whole).to.equal(false);
+    });
+
+    it("passes on what is whole", async () => {
+        const whole = { whole: true, body: "hello" };
+        expect(await receive(`${HEAD}transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`, "Finished"))
+            .to.deep.equal(whole);
+        expect(await receive(`${HEAD}\r\nhello`, "Finished")).to.deep.equal(whole);
+        expect(await receive(`${HEAD}content-length: 5\r\n\r\nhello`, "Reset")).to.deep.equal(whole);
+    });
+});
+
+describe("createLoopLag", () => {
+    it("lets what has arrived be read while the process is behind, and not longer", async () => {
+        const clock = createManualClock();
+        let turns = 0;
+        const lag = createLoopLag(clock, async () => {
+            turns += 1;
+        });
+        const life = new AbortController();
+        lag.start(life.signal);
+        await clock.advance(200);
+        expect(lag.catchUp()).to.equal(undefined);
+        clock.freeze(400);
+        await clock.advance(1);
+        await lag.catchUp();
+        expect(turns).to.equal(2);
+        await clock.advance(600);
+        expect(lag.catchUp()).to.equal(undefined);
+        life.abort();
+    });
+});
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -27,6 +27,7 @@
 import { createServiceChooser } from "./gateway/routeTable.js";
 import { createTargetLookup, listServingZones } from "./gateway/targetLookup.js";
 import type { Dialects } from "./http/dialect.js";
+import { startLoopLag } from "./http/loopLag.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
 import type { HandleRequest } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
@@ -66,6 +67,14 @@
 const findRow = (view: TableView, { partner, service }: ServiceReference): ServiceRow | undefined =>
     view.get(partner)?.services.get(service);
 
+const createPools = ({ options: { requests }, clock }: RequestPathDependencies): ConnectionPools =>
+    createConnectionPools({
+        clock,
+        connectTimeoutMs: requests.connectTimeoutMs,
+        idleMs: requests.idleConnectionMs,
+        poolIdleMs: requests.poolIdleMs,
+    });
+
 const createTarget = ({
     options, clock, createPartLogger, publishTarget, view,
 }: RequestPathDependencies): TargetKeeper => createTargetKeeper({
@@ -83,13 +92,9 @@
     const { requests } = options;
     let attempts = 0;
 
-    const pools = createConnectionPools({
-        clock,
-        connectTimeoutMs: requests.connectTimeoutMs,
-        idleMs: requests.idleConnectionMs,
-        poolIdleMs: requests.poolIdleMs,
-    });
+    const pools = createPools(dependencies);
     const target = createTarget(dependencies);
+    const lag = startLoopLag(clock, signal);
     const services = (): readonly ServiceReference[] => {
         const announcement = target.current()?.announcement;
         return announcement === undefined ? [] : [{ partner: announcement.partner, service: announcement.service }];
@@ -132,6 +137,7 @@
         maxAnswerBytes: options.claims.maxAnswerBytes,
         minSilenceMs: requests.targetSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
+        catchUp: lag.catchUp,
     });
     const load = (): GateLoad | undefined => target.current()?.gate.load();
     const handleGate = createGateHandler({
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -25,6 +25,8 @@
     readonly minSilenceMs: Milliseconds;
     /** Longest silence within an answer's body. */
     readonly bodySilenceMs: Milliseconds;
+    /** See `LoopLag`. */
+    readonly catchUp?: () => Promise<void> | undefined;
 }
 
 type Outcome = Either<RequestFailure, Answer>;
@@ -36,6 +38,8 @@
     retryAfterMs: 1000,
 };
 
+const cancelled: RequestFailure = { kind: "Refused", verdict: "notRun", reason: "Cancelled", retryAfterMs: 0 };
+
 const isTargetOf = (target: LocalTarget, request: GateRequest): boolean =>
     target.announcement.partner === request.service.partner &&
     target.announcement.service === request.service.service;
@@ -141,6 +145,14 @@
         if (either.isLeft(admission)) {
             return admission;
         }
+        const caughtUp = dependencies.catchUp?.();
+        if (caughtUp !== undefined) {
+            await caughtUp;
+            if (request.signal.aborted) {
+                admission.right.release("NotStarted");
+                return either.left(cancelled);
+            }
+        }
         request.onAdmitted();
         const outcome = await runClaimed(target)(request);
         if (either.isLeft(outcome)) {
--- a/packages/oleandergap-node/src/http/connectionPools.ts
+++ b/packages/oleandergap-node/src/http/connectionPools.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { Pool, type Dispatcher } from "undici";
+import { createWatchedConnector } from "./socketEnd.js";
 
 export interface ConnectionPoolsOptions {
     readonly clock: Clock;
@@ -53,7 +54,7 @@
             keepAliveTimeout: options.idleMs,
             // The other side's hint may shorten the idle time, never lengthen it.
             keepAliveMaxTimeout: options.idleMs,
-            connect: { timeout: options.connectTimeoutMs, noDelay: true, keepAlive: true },
+            connect: createWatchedConnector({ timeout: options.connectTimeoutMs, noDelay: true, keepAlive: true }),
         });
 
     const retire = (key: string, entry: PoolEntry): void => {
--- a/packages/oleandergap-node/src/http/exchange.ts
+++ b/packages/oleandergap-node/src/http/exchange.ts
@@ -14,6 +14,7 @@
 import { createReceivedBody, type ReceivedBody } from "./receivedBody.js";
 import { createBodyFeed } from "./bodyFeed.js";
 import type { RequestBody } from "./requestBody.js";
+import { readSocketEnd } from "./socketEnd.js";
 
 export interface ExchangeRequest {
     readonly dispatcher: Dispatcher;
@@ -66,6 +67,16 @@
     return id === undefined ? requireId : answerId !== undefined && id !== answerId;
 };
 
+/**
+ * Whether an answer that is reported as whole ended only because its connection did. Without a length, the end of the
+ * connection is the end of the answer, unless it was a reset; with chunks, the last one has to come first.
+ */
+const isCutShort = (headers: AnswerHeaders): boolean => {
+    const end = readSocketEnd();
+    const isChunked = readAnswerHeader(headers, "transfer-encoding") !== undefined;
+    return end === "Reset" || (end === "Finished" && isChunked);
+};
+
 /**
  * The length of a streaming body has to be told: the other side would otherwise wait for as much as it keeps, while
  * this side sends no more than the beginning until it is admitted.
@@ -87,6 +98,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let body: ReceivedBody | undefined;
     let abortDetail: string | undefined;
+    let answerHeaders: AnswerHeaders = {};
 
     const abort = (detail: string): void => {
         if (abortDetail !== undefined) {
@@ -115,6 +127,7 @@
             abort("the answer belongs to another request");
             return;
         }
+        answerHeaders = headers;
         body = createReceivedBody({
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
@@ -149,6 +162,10 @@
         onResponseData: (_controller, chunk) => body?.push(chunk),
         onResponseEnd: () => {
             feed.close();
+            if (isCutShort(answerHeaders)) {
+                body?.breakOff({ kind: "AnswerCut", verdict: "ran", detail: "the connection ended within the answer" });
+                return;
+            }
             body?.finish();
         },
         onResponseError: (_controller, error) => failExchange(error),
--- /dev/null
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -0,0 +1,59 @@
+/**
+ * Notices that this process is behind with its events, for want of processor time or after a pause.
+ *
+ * A process that is behind reads a request long after it arrived, and the caller's hanging up, which arrived since,
+ * only after that. One would see requests handed to targets whose callers left a second ago. While it is behind, it
+ * therefore reads what else has arrived before it hands a request on.
+ */
+import type { Clock, Milliseconds } from "oleandergap-types";
+
+/** Distance of two looks. */
+const LOOK_INTERVAL_MS: Milliseconds = 50;
+/** A look that comes this much too late shows that the process is behind. */
+const BEHIND_MS: Milliseconds = 30;
+/** How long one late look counts. */
+const MEMORY_MS: Milliseconds = 500;
+
+/** Watches from `start` on. */
+export interface LoopLag {
+    readonly start: (signal: AbortSignal) => void;
+    /** Undefined unless the process is behind; then resolves when what has arrived by now is read. */
+    readonly catchUp: () => Promise<void> | undefined;
+}
+
+const nextTurn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+
+/** Reads sockets once between two turns; data and the end of one socket need two. */
+const TURNS_TO_CATCH_UP = 2;
+
+export const createLoopLag = (clock: Clock, turn: () => Promise<void> = nextTurn): LoopLag => {
+    let behindUntil = Number.NEGATIVE_INFINITY;
+
+    const look = (dueAt: Milliseconds, signal: AbortSignal): void => {
+        const now = clock.monotonic();
+        if (now - dueAt > BEHIND_MS) {
+            behindUntil = now + MEMORY_MS;
+        }
+        if (!signal.aborted) {
+            clock.after(LOOK_INTERVAL_MS, () => look(now + LOOK_INTERVAL_MS, signal));
+        }
+    };
+
+    const waitTurns = async (): Promise<void> => {
+        for (let count = 0; count < TURNS_TO_CATCH_UP; count++) {
+            await turn();
+        }
+    };
+
+    return {
+        start: (signal) => look(clock.monotonic(), signal),
+        catchUp: () => clock.monotonic() < behindUntil ? waitTurns() : undefined,
+    };
+};
+
+/** Watches until `signal` aborts. */
+export const startLoopLag = (clock: Clock, signal: AbortSignal): LoopLag => {
+    const lag = createLoopLag(clock);
+    lag.start(signal);
+    return lag;
+};
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -127,6 +127,8 @@
     return { outcome: nameReason(outcome, ending), ending, isPointless };
 };
 
+const isSurelyNotRun = (outcome: Outcome): boolean => either.isLeft(outcome) && outcome.left.verdict === "notRun";
+
 /** Sends `request`; twice at most, and only if it is idempotent. Never rejects. */
 export const sendWatched = async (clock: Clock, request: WatchedRequest): Promise<Outcome> => {
     // A request that must not run twice waits for its deadline: nobody can tell whether it arrived.
@@ -135,5 +137,6 @@
         return first.outcome;
     }
     const second = await tryOnce(clock, request, true);
-    return second.outcome;
+    // The first try may still run, whatever became of the second one: a refusal of that alone promises too much.
+    return isSurelyNotRun(second.outcome) ? first.outcome : second.outcome;
 };
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -29,6 +29,16 @@
     readonly options?: PickerOptions;
 }
 
+const summarise = <Target extends RoutableTarget>(
+    { zone, candidates, spill, circuit }: ZoneState<Target>,
+): ZoneSummary => ({
+    zone,
+    targets: countTargets(candidates),
+    ejected: candidates.ejected.length,
+    spill,
+    isReachable: circuit.state === "closed",
+});
+
 /** Creates the picker of one node; it serves all services. */
 export const createTargetPicker = <Target extends RoutableTarget>({
     ownNode,
@@ -144,14 +154,6 @@
         });
     };
 
-    const summarise = ({ zone, candidates, spill, circuit }: ZoneState<Target>): ZoneSummary => ({
-        zone,
-        targets: countTargets(candidates),
-        ejected: candidates.ejected.length,
-        spill,
-        isReachable: circuit.state === "closed",
-    });
-
     return {
         pick,
         hasRoom,
@@ -163,6 +165,6 @@
             const earliest = Math.min(options.noTargetRetryAfterMs, ...untilProbe);
             return Math.max(1, Math.ceil(earliest));
         },
-        zones: (service) => services.get(formatServiceReference(service))?.zones.map(summarise) ?? [],
+        zones: (service) => services.get(formatServiceReference(service))?.zones.map((zone) => summarise(zone)) ?? [],
     };
 };
