Node: notice a reset that the runtime reports as an end

Ruled out: the way between two nodes (18 combinations of framing and end over two real daemons are all visibly cut), the order of listeners. Change: at the end of an answer without a length, an empty line is written to the connection; the system fails it at once after a reset.

--- a/packages/oleandergap-node/src/http/exchange.ts
+++ b/packages/oleandergap-node/src/http/exchange.ts
@@ -14,7 +14,7 @@
 import { createReceivedBody, type ReceivedBody } from "./receivedBody.js";
 import { createBodyFeed } from "./bodyFeed.js";
 import type { RequestBody } from "./requestBody.js";
-import { readSocketEnd } from "./socketEnd.js";
+import { readSocketEnd, wasReset } from "./socketEnd.js";
 
 export interface ExchangeRequest {
     readonly dispatcher: Dispatcher;
@@ -73,8 +73,11 @@
  */
 const isCutShort = (headers: AnswerHeaders): boolean => {
     const end = readSocketEnd();
+    if (end === undefined || readAnswerHeader(headers, "content-length") !== undefined) {
+        return false;
+    }
     const isChunked = readAnswerHeader(headers, "transfer-encoding") !== undefined;
-    return end === "Reset" || (end === "Finished" && isChunked);
+    return isChunked || wasReset(end);
 };
 
 /**
--- a/packages/oleandergap-node/src/http/socketEnd.ts
+++ b/packages/oleandergap-node/src/http/socketEnd.ts
@@ -9,13 +9,19 @@
 import { Socket } from "node:net";
 import { buildConnector } from "undici";
 
-/** `Reset`: with an error. `Finished`: the other side sent its end. */
-export type SocketEnd = "Reset" | "Finished";
+/** `Reset`: with an error. `Finished`: the other side sent its end, as far as the runtime can tell. */
+export type SocketEndKind = "Reset" | "Finished";
+
+/** The end of a connection, while it is handled. */
+export interface SocketEnd {
+    readonly kind: SocketEndKind;
+    readonly socket: Socket;
+}
 
 let current: SocketEnd | undefined;
 
-const note = (end: SocketEnd): void => {
-    current = end;
+const note = (kind: SocketEndKind, socket: Socket): void => {
+    current = { kind, socket };
     // Runs after all listeners of this event and before the next one.
     queueMicrotask(() => {
         current = undefined;
@@ -27,13 +33,31 @@
 
 /** Watches a socket that nobody else listens to yet. */
 export const watchSocketEnd = (socket: Socket): void => {
-    socket.on("error", () => note("Reset"));
-    socket.on("end", () => note("Finished"));
+    socket.on("error", () => note("Reset", socket));
+    socket.on("end", () => note("Finished", socket));
+};
+
+/** Between two requests, servers skip an empty line (RFC 9112, section 2.2). */
+const EMPTY_LINE = "\r\n";
+
+/**
+ * Whether a connection that seems to have finished was reset.
+ *
+ * When the last data and a reset arrive together, the runtime reports the data and then an end, and never the reset. The
+ * system knows better: a write fails at once after a reset, and succeeds while only the other direction has ended.
+ */
+export const wasReset = ({ kind, socket }: SocketEnd): boolean => {
+    if (kind === "Reset") {
+        return true;
+    }
+    socket.write(EMPTY_LINE);
+    return socket.errored !== null;
 };
 
 /** Makes connections whose ends are watched. */
 export const createWatchedConnector = (options: buildConnector.BuildOptions): buildConnector.connector => {
-    const connect = buildConnector(options);
+    // Without the other direction being kept open, a write after the end would tell nothing.
+    const connect = buildConnector({ ...options, allowHalfOpen: true });
     return (target, callback) => {
         connect(target, (...result) => {
             const [, socket] = result;
