--- a/packages/oleandergap-node/src/http/socketEnd.ts
+++ b/packages/oleandergap-node/src/http/socketEnd.ts
@@ -43,8 +43,8 @@
 /**
  * Whether a connection that seems to have finished was reset.
  *
- * When the last data and a reset arrive together, the runtime reports the data and then an end, and never the reset. The
- * system knows better: a write fails at once after a reset, and succeeds while only the other direction has ended.
+ * When the last data and a reset arrive together, the runtime reports the data and then an end, and never the reset.
+ * The system knows better: a write fails at once after a reset, and succeeds while only the other direction has ended.
  */
 export const wasReset = ({ kind, socket }: SocketEnd): boolean => {
     if (kind === "Reset") {
