--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -10,6 +10,7 @@
 import { createServiceChooser } from "../gateway/routeTable.js";
 import { createSendToGate } from "../gateway/sendToGate.js";
 import { ownDialects } from "../http/dialect.js";
+import { createCallerSignals, type CallerSignals } from "../http/callerSignal.js";
 import { createConnectionPools } from "../http/connectionPools.js";
 import type { Listener } from "../http/listener.js";
 import { LOOPBACK, startTestListener, TEST_LIMIT, type Cleanup } from "./support.js";
@@ -53,6 +54,7 @@
     readonly view?: () => TableView;
     readonly closed?: () => Closure | undefined;
     readonly maxBodyBytes?: number;
+    readonly callerSignals?: CallerSignals;
     readonly findOwnerRouter?: FindOwnerRouter;
 }
 
@@ -68,6 +70,7 @@
         clock,
         logger: createLogger("test"),
         dialect: ownDialects.caller,
+        callerSignals: options.callerSignals ?? createCallerSignals(),
         chooseService: createServiceChooser(createSeededRandom(1)),
         view: options.view ?? (() => view),
         findTargets: () => targets,
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -23,10 +23,11 @@
 import { createGatewayHandler } from "./gateway/gatewayHandler.js";
 import { createSendToGate } from "./gateway/sendToGate.js";
 import { createOwnerRouting, listOwners } from "./gateway/ownerRouting.js";
-import { createRequestLog } from "./gateway/requestLog.js";
+import { createRequestLog, type LogFailedRequest } from "./gateway/requestLog.js";
 import { createServiceChooser } from "./gateway/routeTable.js";
 import { createTargetLookup, listServingZones } from "./gateway/targetLookup.js";
 import type { Dialects } from "./http/dialect.js";
+import { createCallerSignals } from "./http/callerSignal.js";
 import { startLoopLag } from "./http/loopLag.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
 import type { HandleRequest } from "./http/listener.js";
@@ -62,6 +63,8 @@
     readonly handleGate: HandleRequest;
     /** Requests of callers. */
     readonly handleGateway: HandleRequest;
+    /** Gives every caller whose request is under way its final answer. */
+    readonly giveUpAll: () => void;
 }
 
 const findRow = (view: TableView, { partner, service }: ServiceReference): ServiceRow | undefined =>
@@ -75,6 +78,13 @@
         poolIdleMs: requests.poolIdleMs,
     });
 
+const createLog = ({ options, clock, createPartLogger }: RequestPathDependencies): LogFailedRequest =>
+    createRequestLog({
+        clock,
+        logger: createPartLogger("request"),
+        linesPerSecond: options.logs.requestLinesPerSecond,
+    });
+
 const createTarget = ({
     options, clock, createPartLogger, publishTarget, view,
 }: RequestPathDependencies): TargetKeeper => createTargetKeeper({
@@ -95,6 +105,7 @@
     const pools = createPools(dependencies);
     const target = createTarget(dependencies);
     const lag = startLoopLag(clock, signal);
+    const callerSignals = createCallerSignals();
     const services = (): readonly ServiceReference[] => {
         const announcement = target.current()?.announcement;
         return announcement === undefined ? [] : [{ partner: announcement.partner, service: announcement.service }];
@@ -160,6 +171,7 @@
         clock,
         logger: createPartLogger("gateway"),
         dialect: dependencies.dialects.caller,
+        callerSignals,
         chooseService: createServiceChooser(random),
         view,
         findTargets: createTargetLookup({
@@ -200,11 +212,7 @@
         },
         maxBodyBytes: requests.maxBodyBytes,
         countRequest: (end, duration) => metrics.countRequest("gateway", end, duration),
-        logFailure: createRequestLog({
-            clock,
-            logger: createPartLogger("request"),
-            linesPerSecond: options.logs.requestLinesPerSecond,
-        }),
+        logFailure: createLog(dependencies),
     });
-    return { target, claims, claimSweeper, pools, handleGate, handleGateway };
+    return { target, claims, claimSweeper, pools, handleGate, handleGateway, giveUpAll: callerSignals.giveUpAll };
 };
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -18,7 +18,7 @@
     type ServiceReference,
 } from "oleandergap-types";
 import { toRequestEnd, type RequestEnd } from "../http/requestEnd.js";
-import { createCallerSignal } from "../http/callerSignal.js";
+import { createCallerSignals } from "../http/callerSignal.js";
 import {
     CALLER_HEADER,
     IDEMPOTENT_HEADER,
@@ -139,6 +139,7 @@
 /** Handles requests of other nodes. */
 export const createGateHandler = (dependencies: GateHandlerDependencies) => {
     const { clock, serve } = dependencies;
+    const callerSignals = createCallerSignals();
 
     const describe = (requestId: string | undefined): Record<string, string> => {
         const headers: Record<string, string> = {};
@@ -157,7 +158,7 @@
 
     const serveBody = async (response: ServerResponse, head: GateHead, body: RequestBody): Promise<void> => {
         const signs = startSignsOfLife(clock, response, body.kind === "Streaming");
-        const signal = createCallerSignal(response);
+        const signal = callerSignals.create(response);
         const startedAt = clock.monotonic();
         const outcome = await serve({ ...head, body, signal, onAdmitted: signs.admitted });
         signs.stop();
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -13,7 +13,7 @@
     Verdict,
 } from "oleandergap-types";
 import type { Closure } from "../admin/readiness.js";
-import { createCallerSignal } from "../http/callerSignal.js";
+import type { CallerSignals } from "../http/callerSignal.js";
 import type { CallerDialect } from "../http/dialect.js";
 import { HTTP_STATUS } from "../http/refusal.js";
 import { canSendAgain, receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
@@ -30,6 +30,7 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly dialect: CallerDialect;
+    readonly callerSignals: CallerSignals;
     readonly chooseService: ChooseService;
     /** The tables in force now. */
     readonly view: () => TableView;
@@ -97,7 +98,7 @@
     };
 
     const route = async (passage: Passage, caller: CallerRequest, body: RequestBody): Promise<void> => {
-        const signal = createCallerSignal(passage.response);
+        const signal = dependencies.callerSignals.create(passage.response);
         const { service, row, table, deadline } = caller;
         const found = dependencies.findTargets({ service, row, table, deadline, signal });
         const targets = found instanceof Promise ? await found : found;
--- a/packages/oleandergap-node/src/http/callerSignal.ts
+++ b/packages/oleandergap-node/src/http/callerSignal.ts
@@ -1,13 +1,28 @@
-/** An abort signal that follows whoever sent a request. */
+/** Abort signals that follow whoever sent a request. */
 import type { ServerResponse } from "node:http";
 
-/** Aborts when the sender's connection closes before the answer was written whole. */
-export const createCallerSignal = (response: ServerResponse): AbortSignal => {
-    const controller = new AbortController();
-    response.once("close", () => {
-        if (!response.writableFinished) {
-            controller.abort();
-        }
-    });
-    return controller.signal;
+/** Signals of the requests that are under way. */
+export interface CallerSignals {
+    /** Aborts when the sender's connection closes before the answer was written whole, or when all are given up. */
+    readonly create: (response: ServerResponse) => AbortSignal;
+    /** Ends all requests under way, so that each still gets its final answer before the process ends. */
+    readonly giveUpAll: () => void;
+}
+
+export const createCallerSignals = (): CallerSignals => {
+    const controllers = new Set<AbortController>();
+    return {
+        create: (response) => {
+            const controller = new AbortController();
+            controllers.add(controller);
+            response.once("close", () => {
+                controllers.delete(controller);
+                if (!response.writableFinished) {
+                    controller.abort();
+                }
+            });
+            return controller.signal;
+        },
+        giveUpAll: () => controllers.forEach((controller) => controller.abort()),
+    };
 };
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -43,6 +43,8 @@
 }
 
 const SWEEP_INTERVAL_MS = 1000;
+/** Time in which the final answers to what was given up leave the process; several turns of a busy event loop. */
+const FINAL_ANSWERS_MS = 150;
 
 /** The membership binds its port itself; its failure is told like that of any other port. */
 const join = async (
@@ -127,7 +129,10 @@
     await requestPath.claims.leave(drainSignal);
     await requestPath.claims.drain(drainSignal);
     if (limit.hasPassed()) {
-        logger.warn("The time for draining is over; what is left is cut off.");
+        logger.warn("The time for draining is over; what is left is given up.");
+        // Cut off without a word, a caller could not tell whether its request ran, nor when to come back.
+        requestPath.giveUpAll();
+        await clock.sleep(FINAL_ANSWERS_MS, signal);
     }
     limit.cancel();
     destroyListeners(listeners);
