Configuration, distribution: versions that arrive whole spread by what changed in them

Ruled out: the requests themselves (the same load is served in time before and after the run), the store (it answers). Change: a step names the version it starts from; the store derives it between two whole versions and hands it on.

--- a/packages/oleandergap-configuration/src/store/configurationStore.ts
+++ b/packages/oleandergap-configuration/src/store/configurationStore.ts
@@ -42,6 +42,8 @@
     readonly offerDeltas: (partner: PartnerName, deltas: readonly Delta[]) => Either<VersionError, OfferOutcome>;
     /** Deltas that lead from `sequence` to the version in force; undefined when the history is too short. */
     readonly deltasSince: (partner: PartnerName, sequence: Sequence) => readonly Delta[] | undefined;
+    /** The step that led to version `sequence`; undefined when it is not held. */
+    readonly deltaTo: (partner: PartnerName, sequence: Sequence) => Delta | undefined;
     /** Whether fetching `head` makes sense: it is above the version in force and not known to be invalid. */
     readonly isWanted: (head: Head) => boolean;
     /** Versions that were refused lately, for operators. */
@@ -110,6 +112,7 @@
         offerDocument: (document) => offer(document.partner, (store) => store.offerDocument(document)),
         offerDeltas: (partner, deltas) => offer(partner, (store) => store.offerDeltas(deltas)),
         deltasSince: (partner, sequence) => stores.get(partner)?.deltasSince(sequence),
+        deltaTo: (partner, sequence) => stores.get(partner)?.deltaTo(sequence),
         isWanted: (head) => {
             const held = stores.get(head.partner)?.document();
             return held !== undefined && head.sequence > held.sequence && !isInvalid(head);
--- a/packages/oleandergap-configuration/src/store/deltaHistory.ts
+++ b/packages/oleandergap-configuration/src/store/deltaHistory.ts
@@ -1,5 +1,5 @@
 /** The latest deltas of one partner, kept for peers that are a little behind. */
-import type { Delta, Sequence } from "oleandergap-types";
+import { getBaseSequence, type Delta, type Sequence } from "oleandergap-types";
 
 /** Most changed cells kept, so that many large changes cannot fill the memory of a node. */
 const MAX_CHANGES_KEPT = 4000;
@@ -41,7 +41,7 @@
             kept = [];
         },
         after: (sequence) => {
-            const position = kept.findIndex((delta) => delta.sequence === sequence + 1);
+            const position = kept.findIndex((delta) => getBaseSequence(delta) === sequence);
             return position === -1 ? undefined : kept.slice(position);
         },
         find: (sequence) => kept.find((delta) => delta.sequence === sequence),
--- a/packages/oleandergap-configuration/src/store/partnerStore.ts
+++ b/packages/oleandergap-configuration/src/store/partnerStore.ts
@@ -4,7 +4,7 @@
 import type { Delta, Head, PartnerDocument, PartnerName, PartnerTable, Route, Sequence, ZoneName } from "oleandergap-types";
 import { getNextTable, getTableAfter } from "../table/knownTables.js";
 import type { TableProblem } from "../table/tableProblem.js";
-import { applyDeltas } from "../version/delta.js";
+import { applyDeltas, deriveDelta } from "../version/delta.js";
 import { checkDocument, createEmptyDocument, getDocumentHead } from "../version/document.js";
 import type { VersionError } from "../version/versionError.js";
 import { createDeltaHistory } from "./deltaHistory.js";
@@ -35,6 +35,7 @@
     readonly offerDocument: (document: PartnerDocument) => Either<VersionError, OfferOutcome>;
     readonly offerDeltas: (deltas: readonly Delta[]) => Either<VersionError, OfferOutcome>;
     readonly deltasSince: (sequence: Sequence) => readonly Delta[] | undefined;
+    readonly deltaTo: (sequence: Sequence) => Delta | undefined;
 }
 
 /** A document and its table always change together. */
@@ -87,6 +88,15 @@
             { kind: "Divergence", partner, sequence, held, offered: digest };
     };
 
+    /** Peers get the step to a version that arrived whole, as long as it is a small one. */
+    const noteJump = (step: Delta | undefined): void => {
+        if (step === undefined) {
+            history.clear();
+            return;
+        }
+        history.append([step]);
+    };
+
     const offerDocument: PartnerStore["offerDocument"] = (document) => {
         if (document.sequence <= current.document.sequence) {
             const divergence = findDivergence(document);
@@ -103,8 +113,8 @@
         if (either.isLeft(table)) {
             return either.left(toInvalid(document)(table.left));
         }
+        noteJump(deriveDelta(current.document, checked.right));
         current = { document: checked.right, table: table.right };
-        history.clear();
         return either.right({ kind: "Applied", head: table.right.head, refused: [] });
     };
 
@@ -161,6 +171,7 @@
         offerDocument,
         offerDeltas,
         deltasSince: (sequence) => sequence >= current.document.sequence ? [] : history.after(sequence),
+        deltaTo: history.find,
     };
 };
 
--- a/packages/oleandergap-configuration/src/version/delta.ts
+++ b/packages/oleandergap-configuration/src/version/delta.ts
@@ -1,10 +1,16 @@
 /** Steps from one version of a document to the next. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { CellChange, Delta, PartnerDocument } from "oleandergap-types";
+import {
+    getBaseSequence,
+    MAX_CELLS_PER_CHANGE,
+    type CellChange,
+    type Delta,
+    type PartnerDocument,
+} from "oleandergap-types";
 import { computeIndexDigest } from "./digest.js";
 import { createIndexedDocument, getRowIndex } from "./document.js";
-import { changeRowIndex } from "./rowIndex.js";
+import { changeRowIndex, listChangedRows, type RowCells } from "./rowIndex.js";
 import type { VersionError } from "./versionError.js";
 
 /** A version together with the step that led to it. */
@@ -13,18 +19,62 @@
     readonly delta: Delta;
 }
 
-/** The version that follows `document` by `changes`. */
-export const createNextVersion = (document: PartnerDocument, changes: readonly CellChange[]): NextVersion => {
+/** The version that follows `document` by `changes`; the next number is its sequence unless another one is given. */
+export const createNextVersion = (
+    document: PartnerDocument,
+    changes: readonly CellChange[],
+    sequence = document.sequence + 1,
+): NextVersion => {
     const { partner } = document;
-    const sequence = document.sequence + 1;
     const index = changeRowIndex(getRowIndex(document), changes);
     const digest = computeIndexDigest(partner, index);
     return {
         document: createIndexedDocument(partner, sequence, digest, index),
-        delta: { partner, sequence, baseDigest: document.digest, digest, changes: [...changes] },
+        delta: {
+            partner,
+            sequence,
+            ...(sequence === document.sequence + 1 ? {} : { baseSequence: document.sequence }),
+            baseDigest: document.digest,
+            digest,
+            changes: [...changes],
+        },
     };
 };
 
+const NO_CELLS: RowCells = new Map();
+
+const listRowChanges = (before: RowCells, after: RowCells): readonly CellChange[] => {
+    const removed = [...before]
+        .filter(([cell]) => !after.has(cell))
+        .map(([cell, value]): CellChange => ({ cell, before: value }));
+    const set = [...after]
+        .filter(([cell, value]) => before.get(cell) !== value)
+        .map(([cell, value]): CellChange => {
+            const held = before.get(cell);
+            return held === undefined ? { cell, after: value } : { cell, before: held, after: value };
+        });
+    return [...removed, ...set];
+};
+
+/**
+ * The step between two versions that both arrived whole, so that it can be handed on in place of the second one; in a
+ * table of 300 routes of which one changed, its text is a two-hundredth of the document's. Undefined when the versions
+ * are too far apart for one step.
+ */
+export const deriveDelta = (previous: PartnerDocument, next: PartnerDocument): Delta | undefined => {
+    const [before, after] = [getRowIndex(previous), getRowIndex(next)];
+    const rows = listChangedRows(before, after);
+    if (rows.length > MAX_CELLS_PER_CHANGE) {
+        return undefined;
+    }
+    const changes = rows.flatMap((row) =>
+        listRowChanges(before.rows.get(row)?.cells ?? NO_CELLS, after.rows.get(row)?.cells ?? NO_CELLS));
+    const { partner, sequence, digest } = next;
+    return changes.length > MAX_CELLS_PER_CHANGE ?
+        undefined :
+        { partner, sequence, baseSequence: previous.sequence, baseDigest: previous.digest, digest, changes };
+};
+
 const notExtending = (document: PartnerDocument, delta: Delta, detail: string): VersionError => ({
     kind: "NotExtending",
     partner: document.partner,
@@ -40,8 +90,8 @@
         if (delta.partner !== document.partner) {
             return notExtending(document, delta, "it belongs to another partner");
         }
-        if (delta.sequence !== sequence + 1) {
-            return notExtending(document, delta, `version ${sequence + 1} is missing`);
+        if (getBaseSequence(delta) !== sequence) {
+            return notExtending(document, delta, `it follows on version ${getBaseSequence(delta)}`);
         }
         if (delta.baseDigest !== digest) {
             return notExtending(document, delta, "it was made from different content");
--- a/packages/oleandergap-distribution/src/__tests__/spreadFailures.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/spreadFailures.test.ts
@@ -140,4 +140,34 @@
         expect(oldest).to.be.at.most(3);
         fleet.stop();
     });
+
+    it("spreads versions that come as whole documents by what changed in them", async () => {
+        // Symptom: requests are held up on all nodes of a zone while changes come in quick succession.
+        // Sequence: readers take each version whole from the platform and hand it on; each other node pulls it whole.
+        // Cause: a version that skips numbers had no step, so that peers could only be given all of it.
+        const reader = { ...defaultDistributionOptions.reader, readers: 2, standbys: 1, intervalMs: 100 };
+        const fleet = createInMemoryFleet({
+            zones: 1,
+            nodesPerZone: 8,
+            seed: 32,
+            options: { ...defaultDistributionOptions, reader },
+        });
+        fleet.platform.holdDocuments();
+        await fleet.startAll();
+        fleet.platform.accept("halloway", { [WEIGHT_CELL]: 1 });
+        await fleet.clock.advance(3_000);
+        const pulls = (): number => fleet.nodes
+            .reduce((sum, node) => sum + node.spread.stats().documentPulls, 0);
+        const before = pulls();
+        for (let weight = 2; weight < 22; weight++) {
+            fleet.platform.accept("halloway", { [WEIGHT_CELL]: weight });
+            fleet.platform.accept("halloway", { [WEIGHT_CELL]: weight + 100 });
+            await fleet.clock.advance(300);
+        }
+        await fleet.clock.advance(1_000);
+        expectInForceEverywhere(fleet, "halloway");
+        // Twenty jumps over two numbers each, for two readers; the six others are given steps.
+        expect(pulls() - before).to.be.at.most(2 * 20 + 10);
+        fleet.stop();
+    });
 });
--- a/packages/oleandergap-distribution/src/compactDelta.ts
+++ b/packages/oleandergap-distribution/src/compactDelta.ts
@@ -3,10 +3,12 @@
  * the values before. Nothing is taken on trust, because the receiver's store still checks the digest of the result,
  * which covers all cells; and a delta that small costs hardly more bytes than the head that would announce it.
  */
+import { getRowIndex, readCell } from "oleandergap-configuration";
 import {
     cellAddressSchema,
     cellValueSchema,
     deltaSchema,
+    getBaseSequence,
     MAX_CELLS_PER_CHANGE,
     type CellChange,
     type Delta,
@@ -15,7 +17,12 @@
 import { z } from "zod";
 
 /** A delta without its base digest and without the values before; a cell without `after` was removed. */
-export const compactDeltaSchema = deltaSchema.pick({ partner: true, sequence: true, digest: true }).extend({
+export const compactDeltaSchema = deltaSchema.pick({
+    partner: true,
+    sequence: true,
+    baseSequence: true,
+    digest: true,
+}).extend({
     changes: z
         .array(z.strictObject({ cell: cellAddressSchema, after: cellValueSchema.optional() }))
         .max(MAX_CELLS_PER_CHANGE),
@@ -27,16 +34,18 @@
     after === undefined ? { cell } : { cell, after };
 
 /** Leaves out what the receiver knows already; `expandDelta` is the inverse. */
-export const compactDelta = ({ partner, sequence, digest, changes }: Delta): CompactDelta => ({
+export const compactDelta = ({ partner, sequence, baseSequence, digest, changes }: Delta): CompactDelta => ({
     partner,
     sequence,
+    ...(baseSequence === undefined ? {} : { baseSequence }),
     digest,
     changes: changes.map(compactChange),
 });
 
 const expandChange = (document: PartnerDocument) =>
     ({ cell, after }: CompactDelta["changes"][number]): CellChange => {
-        const before = Object.hasOwn(document.cells, cell) ? document.cells[cell] : undefined;
+        // Looked up by row: put together for this, the plain cells would cost more than the rest of the step.
+        const before = readCell(getRowIndex(document), cell);
         return {
             cell,
             ...(before === undefined ? {} : { before }),
@@ -46,10 +55,11 @@
 
 /** The whole delta, or undefined when `document` is not the version that it extends. */
 export const expandDelta = (compact: CompactDelta, document: PartnerDocument): Delta | undefined =>
-    document.partner === compact.partner && document.sequence === compact.sequence - 1 ?
+    document.partner === compact.partner && document.sequence === getBaseSequence(compact) ?
         {
             partner: compact.partner,
             sequence: compact.sequence,
+            ...(compact.baseSequence === undefined ? {} : { baseSequence: compact.baseSequence }),
             baseDigest: document.digest,
             digest: compact.digest,
             changes: compact.changes.map(expandChange(document)),
--- a/packages/oleandergap-distribution/src/ports.ts
+++ b/packages/oleandergap-distribution/src/ports.ts
@@ -32,6 +32,8 @@
     readonly document: (partner: PartnerName) => PartnerDocument;
     /** The steps that follow `sequence`; undefined when they are no longer held. */
     readonly deltasSince: (partner: PartnerName, sequence: Sequence) => readonly Delta[] | undefined;
+    /** The step that led to version `sequence`; undefined when it is not held. */
+    readonly deltaTo: (partner: PartnerName, sequence: Sequence) => Delta | undefined;
     /** Whether fetching `head` makes sense: it is above the version in force and was not found invalid before. */
     readonly isWanted: (head: Head) => boolean;
     readonly offerDocument: (document: PartnerDocument) => Either<VersionRefusal, unknown>;
--- a/packages/oleandergap-distribution/src/versionHandover.ts
+++ b/packages/oleandergap-distribution/src/versionHandover.ts
@@ -13,7 +13,7 @@
 
 /** What handing over works with. */
 export interface HandOverDependencies {
-    readonly store: Pick<ConfigurationStorePort, "deltasSince">;
+    readonly store: Pick<ConfigurationStorePort, "deltaTo">;
     readonly delegator: Pick<Delegator, "delegate">;
     readonly peerHeads: Pick<PeerHeads, "holds">;
     readonly options: Pick<SpreadOptions, "inlineDeltaBytes" | "acknowledgeTimeoutMs">;
@@ -49,8 +49,8 @@
 ): HandOver => {
     /** The step to `head` if it fits into a datagram. */
     const findInlineDelta = (head: Head): CompactDelta | undefined => {
-        const delta = store.deltasSince(head.partner, head.sequence - 1)?.[0];
-        if (delta === undefined || delta.sequence !== head.sequence || delta.digest !== head.digest) {
+        const delta = store.deltaTo(head.partner, head.sequence);
+        if (delta === undefined || delta.digest !== head.digest) {
             return undefined;
         }
         const compact = compactDelta(delta);
--- a/packages/oleandergap-distribution/src/versionPusher.ts
+++ b/packages/oleandergap-distribution/src/versionPusher.ts
@@ -16,7 +16,7 @@
 
 /** What a version pusher works with. */
 export interface VersionPusherDependencies {
-    readonly store: Pick<ConfigurationStorePort, "heads" | "document" | "deltasSince">;
+    readonly store: Pick<ConfigurationStorePort, "heads" | "document" | "deltaTo">;
     readonly fleet: FleetPort;
     readonly outlet: SpreadOutlet;
     readonly peerHeads: PeerHeads;
--- a/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
+++ b/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
@@ -88,4 +88,25 @@
         expect(lag.catchUp()).to.equal(undefined);
         life.abort();
     });
+
+    /*
+     * Symptom: a request reaches its target over a second after its caller left.
+     * Sequence: the process stands still; the caller's request and its hanging up arrive; the process goes on and reads
+     *   the request in the same turn of the event loop, before any timer fires.
+     * Cause: only the timer noticed that the process was behind.
+     */
+    it("notices a pause before its timer does", async () => {
+        const clock = createManualClock();
+        let turns = 0;
+        const lag = createLoopLag(clock, async () => {
+            turns += 1;
+        });
+        const life = new AbortController();
+        lag.start(life.signal);
+        await clock.advance(200);
+        clock.freeze(400);
+        await lag.catchUp();
+        expect(turns).to.equal(2);
+        life.abort();
+    });
 });
--- a/packages/oleandergap-node/src/http/loopLag.ts
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -28,14 +28,26 @@
 
 export const createLoopLag = (clock: Clock, turn: () => Promise<void> = nextTurn): LoopLag => {
     let behindUntil = Number.NEGATIVE_INFINITY;
+    /** When the next look is due. */
+    let dueAt = Number.POSITIVE_INFINITY;
 
-    const look = (dueAt: Milliseconds, signal: AbortSignal): void => {
-        const now = clock.monotonic();
+    /**
+     * Asked at every look and for every request: after a pause, the event loop may read many requests before it comes
+     * to the timer of the look, and those are the ones that have waited longest.
+     */
+    const isBehind = (now: Milliseconds): boolean => {
         if (now - dueAt > BEHIND_MS) {
             behindUntil = now + MEMORY_MS;
         }
+        return now < behindUntil;
+    };
+
+    const look = (signal: AbortSignal): void => {
+        const now = clock.monotonic();
+        isBehind(now);
         if (!signal.aborted) {
-            clock.after(LOOK_INTERVAL_MS, () => look(now + LOOK_INTERVAL_MS, signal));
+            dueAt = now + LOOK_INTERVAL_MS;
+            clock.after(LOOK_INTERVAL_MS, () => look(signal));
         }
     };
 
@@ -46,8 +58,8 @@
     };
 
     return {
-        start: (signal) => look(clock.monotonic(), signal),
-        catchUp: () => clock.monotonic() < behindUntil ? waitTurns() : undefined,
+        start: look,
+        catchUp: () => isBehind(clock.monotonic()) ? waitTurns() : undefined,
     };
 };
 
--- a/packages/oleandergap-types/src/table.ts
+++ b/packages/oleandergap-types/src/table.ts
@@ -55,16 +55,22 @@
 });
 export type CellChange = z.infer<typeof cellChangeSchema>;
 
-/** The step from one version to the next: `sequence - 1` with `baseDigest` becomes `sequence` with `digest`. */
+/** The step from one version to a later one: `baseSequence` with `baseDigest` becomes `sequence` with `digest`. */
 export const deltaSchema = z.strictObject({
     partner: partnerNameSchema,
     sequence: sequenceSchema.min(1),
+    /** Absent when the step follows on the number just before. */
+    baseSequence: sequenceSchema.optional(),
     baseDigest: digestSchema,
     digest: digestSchema,
     changes: z.array(cellChangeSchema).max(MAX_CELLS_PER_CHANGE),
 });
 export type Delta = z.infer<typeof deltaSchema>;
 
+/** The version that a step starts from. */
+export const getBaseSequence = ({ sequence, baseSequence }: Pick<Delta, "sequence" | "baseSequence">): Sequence =>
+    baseSequence ?? sequence - 1;
+
 /** A whole version of one partner's document. */
 export const documentSchema = z.strictObject({
     partner: partnerNameSchema,
