Distribution: no node is ready without any version while peers hold one

Heads that peers named and did not deliver in time were set aside after some tries; the node then took itself for recovered, with an empty table, and others could recover that from it. Ruled out: an old version in force (404 for all routes, also the first ones). Change: a recovery goes on while a source names a version and none is in force; a node without any version sets no claim aside.

--- a/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
@@ -1,8 +1,11 @@
 /** A fleet of nodes in one process, on a manual clock: real distribution code over the small fakes beside this file. */
+import * as either from "fp-ts/lib/Either.js";
+import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import type { Head, NodeId, PartnerName } from "oleandergap-types";
 import { createLogger } from "oleandergap-logger";
 import { createManualClock, createSeededRandom, pickOne, pickSeveral, type ManualClock } from "oleandergap-utils";
 import { defaultDistributionOptions, type DistributionOptions } from "../options.js";
+import type { PeerError } from "../peerError.js";
 import { peerRouter } from "../peerRouter.js";
 import type { FleetPort, PeerAddress, PeerPort, SpreadOutlet } from "../ports.js";
 import { createSpread, type Spread } from "../spread.js";
@@ -28,6 +31,8 @@
     readonly probes?: boolean;
     /** Time until the members of a zone drop one that died. */
     readonly detectionMs?: number;
+    /** Whether calls for versions are answered at the moment; those for heads always are. By default they are. */
+    readonly deliversVersions?: () => boolean;
 }
 
 /** What a restart replaces. */
@@ -138,11 +143,17 @@
         });
     };
 
+    const deliver = <Answer>(call: TaskEither<PeerError, Answer>): TaskEither<PeerError, Answer> =>
+        plan.deliversVersions?.() === false ?
+            async () => either.left({ kind: "Unreachable", detail: "overloaded" }) :
+            call;
+
     const createPeers = (self: PeerAddress): PeerPort => ({
         ping: (to) => network.call(self, to, undefined, () => createCaller(to).ping()),
         heads: (to) => network.call(self, to, undefined, () => createCaller(to).heads()),
-        deltasSince: (to, query) => network.call(self, to, query, () => createCaller(to).deltasSince(query)),
-        document: (to, query) => network.call(self, to, query, () => createCaller(to).document(query)),
+        deltasSince: (to, query) =>
+            deliver(network.call(self, to, query, () => createCaller(to).deltasSince(query))),
+        document: (to, query) => deliver(network.call(self, to, query, () => createCaller(to).document(query))),
     });
 
     const createOutlet = (self: PeerAddress): SpreadOutlet => ({
--- a/packages/oleandergap-distribution/src/__tests__/recovery.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/recovery.test.ts
@@ -111,4 +111,27 @@
         expect(holdsAll(fleet)(node)).to.equal(true);
         fleet.stop();
     });
+
+    it("is not ready without any version when peers hold one that they cannot deliver", async () => {
+        // Symptom: a restarted node answers all requests with 404, and so do others that recover from it.
+        // Sequence: many nodes restart at once; those that run name their heads, but are too busy to deliver versions
+        //   in time; after some failed pulls the claimed heads are set aside.
+        // Cause: a head that was set aside is not waited for any more, also where it leaves the node with nothing.
+        let delivers = true;
+        const fleet = createInMemoryFleet({ zones: 2, nodesPerZone: 4, seed: 7, deliversVersions: () => delivers });
+        await fleet.startAll();
+        fleet.acceptAt(fleet.node(0), "kushiro", { [WEIGHT_CELL]: 1 });
+        fleet.acceptAt(fleet.node(1), "halloway", { [WEIGHT_CELL]: 1 });
+        await fleet.clock.advance(3_000);
+        fleet.platform.setOutage(true);
+        delivers = false;
+        const restarted = fleet.nodes.slice(2);
+        restartAll(fleet, restarted);
+        await fleet.clock.advance(20_000);
+        expect(restarted.filter(isReady)).to.have.lengthOf(0);
+        delivers = true;
+        await fleet.clock.advance(5_000);
+        expect(restarted.filter(isReady).filter(holdsAll(fleet))).to.have.lengthOf(restarted.length);
+        fleet.stop();
+    });
 });
--- a/packages/oleandergap-distribution/src/recovery.ts
+++ b/packages/oleandergap-distribution/src/recovery.ts
@@ -4,7 +4,8 @@
  * when it holds what they named.
  *
  * Guarantee: when `recover` resolves, the node holds, for every partner, at least the highest version that any
- * recovered source named in the deciding round, but for versions that nobody could deliver with a matching digest.
+ * recovered source named in the deciding round, but for versions that nobody could deliver with a matching digest; and
+ * some version of each partner of which a source named one.
  * Sources are, in this order, recovered peers of the own zone, recovered contacts in other zones, and the platform.
  * When all peers of the zone restarted at once, none of them is a source yet: the zone waits for another zone or the
  * platform. When neither answers, the node stays not ready and keeps trying.
@@ -100,6 +101,13 @@
         }
     };
 
+    /**
+     * A version that nobody delivers is not waited for, but with none at all a node would answer every request as one
+     * for an unknown service, and other nodes would recover the empty table from it.
+     */
+    const lacksVersion = (heads: readonly Head[]): boolean =>
+        heads.some(({ partner, sequence }) => sequence > 0 && dependencies.sequenceOf(partner) === 0);
+
     const runRound = async (): Promise<RecoveryOutcome | undefined> => {
         const sources = [
             { source: "zone", ask: () => askPeers(fleet.members()) },
@@ -113,6 +121,9 @@
             const heads = await ask();
             if (heads !== undefined) {
                 await waitForArrival(heads);
+                if (!signal.aborted && lacksVersion(heads)) {
+                    continue;
+                }
                 return signal.aborted ? { kind: "Aborted" } : { kind: "Recovered", source };
             }
         }
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -110,7 +110,8 @@
         }
         counters.pullFailures += 1;
         logger.debug("a pull failed", { partner, source: lastFailed, reason: failure.kind });
-        if (claimed !== undefined && book.countFailure(claimed)) {
+        // A node without any version has nothing to fall back to: set aside, a true head would keep it out for as long.
+        if (claimed !== undefined && sequence() > 0 && book.countFailure(claimed)) {
             counters.claimsSetAside += 1;
             logger.warn("a claimed version could not be had and is set aside", {
                 partner,
