--- a/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
+++ b/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
@@ -73,9 +73,11 @@
     it("lets what has arrived be read while the process is behind, and not longer", async () => {
         const clock = createManualClock();
         let turns = 0;
-        const lag = createLoopLag(clock, async () => {
+        const pauses: number[] = [];
+        const turn = async (): Promise<void> => {
             turns += 1;
-        });
+        };
+        const lag = createLoopLag({ clock, turn, onPause: (lagMs) => pauses.push(lagMs) });
         const life = new AbortController();
         lag.start(life.signal);
         await clock.advance(200);
@@ -84,6 +86,7 @@
         await clock.advance(1);
         await lag.catchUp();
         expect(turns).to.equal(2);
+        expect(pauses).to.have.length(1);
         await clock.advance(600);
         expect(lag.catchUp()).to.equal(undefined);
         life.abort();
@@ -98,9 +101,10 @@
     it("notices a pause before its timer does", async () => {
         const clock = createManualClock();
         let turns = 0;
-        const lag = createLoopLag(clock, async () => {
+        const turn = async (): Promise<void> => {
             turns += 1;
-        });
+        };
+        const lag = createLoopLag({ clock, turn, onPause: () => undefined });
         const life = new AbortController();
         lag.start(life.signal);
         await clock.advance(200);
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -8,6 +8,7 @@
     Clock,
     GateLoad,
     MemberTarget,
+    Milliseconds,
     NodeId,
     ServiceReference,
     ServiceRow,
@@ -105,7 +106,11 @@
 
     const pools = createPools(dependencies);
     const target = createTarget(dependencies);
-    const lag = startLoopLag(clock, signal);
+    const logger = createPartLogger("node");
+    const onPause = (lagMs: Milliseconds): void => {
+        logger.warn("The process was behind with its events.", { lagMs: Math.round(lagMs) });
+    };
+    const lag = startLoopLag({ clock, onPause }, signal);
     const callerSignals = createCallerSignals();
     const services = (): readonly ServiceReference[] => {
         const announcement = target.current()?.announcement;
--- a/packages/oleandergap-node/src/http/loopLag.ts
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -26,7 +26,19 @@
 /** Reads sockets once between two turns; data and the end of one socket need two. */
 const TURNS_TO_CATCH_UP = 2;
 
-export const createLoopLag = (clock: Clock, turn: () => Promise<void> = nextTurn): LoopLag => {
+/** A pause that is long enough to hurt requests, and to be told to operators. */
+const NOTEWORTHY_MS: Milliseconds = 250;
+
+/** What a watch over the event loop works with. */
+export interface LoopLagOptions {
+    readonly clock: Clock;
+    /** Is told pauses of a quarter of a second and more, each once. */
+    readonly onPause: (lagMs: Milliseconds) => void;
+    /** Resolves in the next turn of the event loop. */
+    readonly turn?: () => Promise<void>;
+}
+
+export const createLoopLag = ({ clock, onPause, turn = nextTurn }: LoopLagOptions): LoopLag => {
     let behindUntil = Number.NEGATIVE_INFINITY;
     /** When the next look is due. */
     let dueAt = Number.POSITIVE_INFINITY;
@@ -45,6 +57,9 @@
     const look = (signal: AbortSignal): void => {
         const now = clock.monotonic();
         isBehind(now);
+        if (now - dueAt > NOTEWORTHY_MS) {
+            onPause(now - dueAt);
+        }
         if (!signal.aborted) {
             dueAt = now + LOOK_INTERVAL_MS;
             clock.after(LOOK_INTERVAL_MS, () => look(signal));
@@ -64,8 +79,8 @@
 };
 
 /** Watches until `signal` aborts. */
-export const startLoopLag = (clock: Clock, signal: AbortSignal): LoopLag => {
-    const lag = createLoopLag(clock);
+export const startLoopLag = (options: LoopLagOptions, signal: AbortSignal): LoopLag => {
+    const lag = createLoopLag(options);
     lag.start(signal);
     return lag;
 };
