Node: start requests one in a turn of the event loop

With a dozen cold requests in a turn, connections wait for seconds. The trace: the gateway read a request 0.63 s after it was sent, 0.35 s after its caller had left, handed it on and noticed the end 8 ms later; the gate accepted that connection 0.95 s after it was closed. Ruled out: pauses of the loop (none of 250 ms or more was logged), the queue of the gate (waited 0 ms), connections to the target. Change: of the requests that arrive together one is started in each turn, and a caller that has left by then is known to have left.

--- a/packages/oleandergap-node/src/http/callerSignal.ts
+++ b/packages/oleandergap-node/src/http/callerSignal.ts
@@ -14,6 +14,10 @@
     return {
         create: (response) => {
             const controller = new AbortController();
+            if (response.destroyed) {
+                controller.abort();
+                return controller.signal;
+            }
             controllers.add(controller);
             response.once("close", () => {
                 controllers.delete(controller);
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -32,6 +32,8 @@
     readonly maxConnections: number;
     readonly clock: Clock;
     readonly handle: HandleRequest;
+    /** Decides when a request that was received is handled; at once without it. */
+    readonly startRequest?: ((start: () => void) => void) | undefined;
 }
 
 export interface ListenError {
@@ -96,8 +98,11 @@
     return typeof address === "object" && address !== null ? address.port : 0;
 };
 
+const startAtOnce = (start: () => void): void => start();
+
 /** Starts to listen. */
 export const startListener = (options: ListenerOptions): TaskEither<ListenError, Listener> => async () => {
+    const { startRequest = startAtOnce } = options;
     let inFlight = 0;
     let draining = false;
     let onEmpty: (() => void) | undefined;
@@ -113,7 +118,7 @@
         if (draining) {
             response.setHeader("connection", "close");
         }
-        options.handle(request, response);
+        startRequest(() => options.handle(request, response));
     };
 
     const server = createServer({
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "oleandergap-types";
 import type { ListenerPlan } from "./adapters.js";
 import { startListener, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
+import { createTurnQueue, type TurnQueue } from "./http/turnQueue.js";
 import type { NodeOptions } from "./options.js";
 
 export interface NodeHandlers {
@@ -41,18 +42,26 @@
     { options, clock, handlers, furtherListeners }: NodeListenersDependencies,
 ): TaskEither<ListenError, NodeListeners> => async () => {
     const { listen, requests } = options;
+    const requestTurns = createTurnQueue();
     const started: Listener[] = [];
 
-    const startPlanned = async (plan: ListenerPlan): Promise<either.Either<ListenError, Listener>> => {
-        const listener = await startListener({ ...plan, maxConnections: requests.maxConnections, clock })();
+    const startPlanned = async (
+        plan: ListenerPlan,
+        startRequest?: TurnQueue["run"],
+    ): Promise<either.Either<ListenError, Listener>> => {
+        const listener = await startListener({ ...plan, maxConnections: requests.maxConnections, clock, startRequest })();
         if (either.isRight(listener)) {
             started.push(listener.right);
         }
         return listener;
     };
 
-    const start = (name: keyof NodeHandlers, port: number): Promise<either.Either<ListenError, Listener>> =>
-        startPlanned({ name, address: listen.address, port, handle: handlers[name] });
+    const start = (
+        name: keyof NodeHandlers,
+        port: number,
+        startRequest?: TurnQueue["run"],
+    ): Promise<either.Either<ListenError, Listener>> =>
+        startPlanned({ name, address: listen.address, port, handle: handlers[name] }, startRequest);
 
     const closeStarted = (error: ListenError): either.Either<ListenError, never> => {
         started.forEach((listener) => listener.destroy());
@@ -67,11 +76,11 @@
     if (either.isLeft(control)) {
         return closeStarted(control.left);
     }
-    const gate = await start("gate", listen.gatePort);
+    const gate = await start("gate", listen.gatePort, requestTurns.run);
     if (either.isLeft(gate)) {
         return closeStarted(gate.left);
     }
-    const gateway = await start("gateway", listen.gatewayPort);
+    const gateway = await start("gateway", listen.gatewayPort, requestTurns.run);
     if (either.isLeft(gateway)) {
         return closeStarted(gateway.left);
     }
