Routing, node: targets nearby also in an overload; the first request of a connection waits for its end

Cause, routing: as soon as no target nearby had room, targets were drawn from all zones alike. Ruled out: a higher nearLoad alone, which helps only while there is room. Change: a target nearby may be 1.2 times as loaded as one drawn from all (routing.picker.nearAdvantage).

Change: the first request of a connection starts two turns after it was read, and a connection that has ended counts as left. Tests in turnQueue.test.ts.

--- a/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
+++ b/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
@@ -28,6 +28,21 @@
     });
 });
 
+describe("the first request of a connection", () => {
+    it("waits until the end of its connection would be known", () => {
+        const turns: (() => void)[] = [];
+        const queue = createTurnQueue((task) => turns.push(task));
+        const started: string[] = [];
+        queue.runFirst(() => started.push("first"));
+        queue.run(() => started.push("later"));
+        expect(started).to.deep.equal(["later"]);
+        for (let turn = 0; turn < 3 && started.length < 2; turn++) {
+            turns.splice(0).forEach((task) => task());
+        }
+        expect(started).to.deep.equal(["later", "first"]);
+    });
+});
+
 describe("callers that left before their request was started", () => {
     const cleanup = createCleanup();
     afterEach(() => cleanup.run());
@@ -46,7 +61,9 @@
         const client = net.connect((server.address() as net.AddressInfo).port, LOOPBACK);
         client.write("GET / HTTP/1.1\r\nhost: a.example\r\n\r\n");
         await until(() => arrived !== undefined);
-        client.destroy();
+        client.end();
+        await until(() => arrived?.req.socket.readableEnded === true);
+        expect(arrived !== undefined && signals.create(arrived).aborted).to.equal(true);
         await until(() => arrived?.destroyed === true);
         expect(arrived !== undefined && signals.create(arrived).aborted).to.equal(true);
     });
--- a/packages/oleandergap-node/src/http/callerSignal.ts
+++ b/packages/oleandergap-node/src/http/callerSignal.ts
@@ -14,7 +14,8 @@
     return {
         create: (response) => {
             const controller = new AbortController();
-            if (response.destroyed) {
+            // Node.js ends a connection whose other side has ended, so that no answer would arrive any more.
+            if (response.destroyed || response.req.socket.readableEnded) {
                 controller.abort();
                 return controller.signal;
             }
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -9,6 +9,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import { REASON_HEADER, VERDICT_HEADER, type Clock, type Milliseconds } from "oleandergap-types";
+import type { TurnQueue } from "./turnQueue.js";
 
 /** Longest head of a request, in bytes. */
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -33,7 +34,7 @@
     readonly clock: Clock;
     readonly handle: HandleRequest;
     /** Decides when a request that was received is handled; at once without it. */
-    readonly startRequest?: ((start: () => void) => void) | undefined;
+    readonly turns?: Pick<TurnQueue, "run" | "runFirst"> | undefined;
 }
 
 export interface ListenError {
@@ -102,7 +103,9 @@
 
 /** Starts to listen. */
 export const startListener = (options: ListenerOptions): TaskEither<ListenError, Listener> => async () => {
-    const { startRequest = startAtOnce } = options;
+    const { turns = { run: startAtOnce, runFirst: startAtOnce } } = options;
+    /** Connections that have brought a request before. */
+    const acquainted = new WeakSet<Socket>();
     let inFlight = 0;
     let draining = false;
     let onEmpty: (() => void) | undefined;
@@ -118,7 +121,9 @@
         if (draining) {
             response.setHeader("connection", "close");
         }
-        startRequest(() => options.handle(request, response));
+        const run = acquainted.has(request.socket) ? turns.run : turns.runFirst;
+        acquainted.add(request.socket);
+        run(() => options.handle(request, response));
     };
 
     const server = createServer({
--- a/packages/oleandergap-node/src/http/turnQueue.ts
+++ b/packages/oleandergap-node/src/http/turnQueue.ts
@@ -12,10 +12,21 @@
 /** Runs `task` in the next turn of the event loop. */
 export type RunNextTurn = (task: () => void) => void;
 
+/**
+ * Turns after which the end of a connection is known that had come before its first request was read: the end is read in
+ * the turn after the data, and told in the one after that.
+ */
+const TURNS_TO_NOTICE_END = 2;
+
 /** First come, first served. */
 export interface TurnQueue {
     /** Runs `task` at once if it is the first of this turn, else in one of the next turns. */
     readonly run: (task: () => void) => void;
+    /**
+     * Like `run`, for the first request of a connection: some turns later, since the connection may have waited long to
+     * be accepted, and its other side may have gone.
+     */
+    readonly runFirst: (task: () => void) => void;
     /** Tasks that wait for their turn. */
     readonly size: () => number;
 }
@@ -46,16 +57,27 @@
         task();
     };
 
+    const run: TurnQueue["run"] = (task) => {
+        if (isTaken) {
+            waiting.push(task);
+            return;
+        }
+        isTaken = true;
+        runNextTurn(startTurn);
+        task();
+    };
+
+    const runAfter = (turns: number, task: () => void): void => {
+        if (turns === 0) {
+            run(task);
+            return;
+        }
+        runNextTurn(() => runAfter(turns - 1, task));
+    };
+
     return {
-        run: (task) => {
-            if (isTaken) {
-                waiting.push(task);
-                return;
-            }
-            isTaken = true;
-            runNextTurn(startTurn);
-            task();
-        },
+        run,
+        runFirst: (task) => runAfter(TURNS_TO_NOTICE_END, task),
         size: () => waiting.length - next,
     };
 };
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -47,9 +47,9 @@
 
     const startPlanned = async (
         plan: ListenerPlan,
-        startRequest?: TurnQueue["run"],
+        turns?: TurnQueue,
     ): Promise<either.Either<ListenError, Listener>> => {
-        const listener = await startListener({ ...plan, maxConnections: requests.maxConnections, clock, startRequest })();
+        const listener = await startListener({ ...plan, maxConnections: requests.maxConnections, clock, turns })();
         if (either.isRight(listener)) {
             started.push(listener.right);
         }
@@ -59,9 +59,9 @@
     const start = (
         name: keyof NodeHandlers,
         port: number,
-        startRequest?: TurnQueue["run"],
+        turns?: TurnQueue,
     ): Promise<either.Either<ListenError, Listener>> =>
-        startPlanned({ name, address: listen.address, port, handle: handlers[name] }, startRequest);
+        startPlanned({ name, address: listen.address, port, handle: handlers[name] }, turns);
 
     const closeStarted = (error: ListenError): either.Either<ListenError, never> => {
         started.forEach((listener) => listener.destroy());
@@ -76,11 +76,11 @@
     if (either.isLeft(control)) {
         return closeStarted(control.left);
     }
-    const gate = await start("gate", listen.gatePort, requestTurns.run);
+    const gate = await start("gate", listen.gatePort, requestTurns);
     if (either.isLeft(gate)) {
         return closeStarted(gate.left);
     }
-    const gateway = await start("gateway", listen.gatewayPort, requestTurns.run);
+    const gateway = await start("gateway", listen.gatewayPort, requestTurns);
     if (either.isLeft(gateway)) {
         return closeStarted(gateway.left);
     }
--- /dev/null
+++ b/packages/oleandergap-routing/src/__tests__/overloadedZones.test.ts
@@ -0,0 +1,88 @@
+import { expect } from "chai";
+import { createManualClock, createSeededRandom } from "oleandergap-utils";
+import { createTargetPicker, defaultRoutingOptions } from "../index.js";
+import { createRow, createTargets, testService } from "./pickerHarness.js";
+
+const ZONES = ["hall-a", "hall-b", "hall-c"];
+const SERVICE_MS = 100;
+const STEP_MS = 5;
+const DURATION_MS = 6000;
+
+interface Played {
+    /** Part of the requests that stayed in the zone of their caller. */
+    readonly keptShare: number;
+    /** The most loaded target's part of all requests. */
+    readonly largestShare: number;
+}
+
+/**
+ * Plays one gateway and one target a zone, each target with ten slots and a queue by arrival; `rates` are the zones'
+ * requests as a part of what one target can do.
+ */
+const play = async (rates: readonly number[], nearAdvantage: number): Promise<Played> => {
+    const clock = createManualClock();
+    const row = { ...createRow({}), placement: "load" as const };
+    const targets = ZONES.flatMap((zone) => createTargets(zone, 1));
+    const options = { ...defaultRoutingOptions.picker, nearAdvantage };
+    const pickers = ZONES.map((ownZone, index) =>
+        createTargetPicker({ ownZone, clock, random: createSeededRandom(index + 1), options }));
+    const states = new Map(targets.map(({ nodeId, slots }) => [nodeId, { slots, inFlight: 0, freeAt: [] as number[] }]));
+    const served = new Map<string, number>();
+    let kept = 0;
+    let total = 0;
+
+    const ask = async (zoneIndex: number): Promise<void> => {
+        const pick = pickers[zoneIndex]?.pick({ service: testService, row, targets, exclude: [], canResend: true });
+        const state = pick && states.get(pick.target.nodeId);
+        if (pick === undefined || state === undefined) {
+            return;
+        }
+        total += 1;
+        kept += pick.target.zone === ZONES[zoneIndex] ? 1 : 0;
+        served.set(pick.target.nodeId, (served.get(pick.target.nodeId) ?? 0) + 1);
+        state.inFlight += 1;
+        const now = clock.monotonic();
+        state.freeAt = state.freeAt.filter((time) => time > now).sort((left, right) => left - right);
+        const startAt = state.freeAt.length < state.slots ? now : state.freeAt[state.freeAt.length - state.slots] ?? now;
+        state.freeAt.push(startAt + SERVICE_MS);
+        await clock.sleep(startAt + SERVICE_MS - now, new AbortController().signal);
+        state.inFlight -= 1;
+        const running = Math.min(state.inFlight, state.slots);
+        const load = {
+            inFlight: running,
+            queued: state.inFlight - running,
+            capacity: state.slots,
+            expectedWaitMs: 0,
+        };
+        pick.report({ kind: "Answered", latencyMs: clock.monotonic() - now }, load);
+    };
+
+    const due = rates.map(() => 0);
+    for (let time = 0; time < DURATION_MS; time += STEP_MS) {
+        for (const [index, rate] of rates.entries()) {
+            for (due[index] = (due[index] ?? 0) + (rate * 10 * STEP_MS) / SERVICE_MS; (due[index] ?? 0) >= 1;) {
+                due[index] = (due[index] ?? 0) - 1;
+                void ask(index);
+            }
+        }
+        await clock.advance(STEP_MS);
+    }
+    return { keptShare: kept / total, largestShare: Math.max(...served.values()) / total };
+};
+
+describe("overloaded zones with placement by load", () => {
+    // Symptom: under load nearly every request crosses the availability zones, although each has targets of its own.
+    // Sequence: all zones get a little more than their targets can do.
+    // Cause: as soon as no target has room, targets are drawn from all zones alike.
+    it("keeps most requests in their zone when all zones are short", async () => {
+        const alike = await play([1.1, 1.1, 1.1], 1);
+        const preferred = await play([1.1, 1.1, 1.1], defaultRoutingOptions.picker.nearAdvantage);
+        expect(preferred.keptShare).to.be.above(alike.keptShare + 0.1);
+        expect(preferred.largestShare).to.be.below(0.4);
+    });
+
+    it("shares the load of a zone that gets twice its part", async () => {
+        const skewed = await play([2, 0.5, 0.5], defaultRoutingOptions.picker.nearAdvantage);
+        expect(skewed.largestShare).to.be.below(0.42);
+    });
+});
--- a/packages/oleandergap-routing/src/nearTarget.ts
+++ b/packages/oleandergap-routing/src/nearTarget.ts
@@ -5,9 +5,10 @@
  * time is dearest, the second hop would otherwise be made for every request.
  */
 import type { NodeId, ZoneName } from "oleandergap-types";
-import type { DrawContext } from "./drawTarget.js";
+import { drawTarget, type DrawContext } from "./drawTarget.js";
 import type { RoutableTarget } from "./target.js";
 import { scoreTarget, type TargetState } from "./targetState.js";
+import type { Candidates } from "./zoneCandidates.js";
 
 /** Where a node stands, and how full a target nearby may be. */
 export interface Nearness {
@@ -17,6 +18,8 @@
     readonly nearLoad: number;
     /** The same for the target on the own VM. */
     readonly ownLoad: number;
+    /** How many times as loaded as one further away a target nearby may be when none nearby has room. */
+    readonly nearAdvantage: number;
 }
 
 /** Targets nearby that are looked at for one request, so that a choice costs the same in a large zone. */
@@ -37,27 +40,55 @@
         .filter(({ target }) => target.zone === nearness.ownZone && !target.leaving)
         .sort((left, right) => distanceOf(left.target, nearness) - distanceOf(right.target, nearness));
 
-/** Undefined when no target nearby has room; one that has just started is left to the slow start. */
-export const findNearTarget = <Target extends RoutableTarget>(
+/** A target nearby, with its expected load per slot. */
+interface NearTarget<Target extends RoutableTarget> {
+    readonly state: TargetState<Target>;
+    readonly load: number;
+    /** Whether it is chosen without a look at the others. */
+    readonly hasRoom: boolean;
+}
+
+/** The least loaded one, or the own VM's while that has room; one that has just started is left to the slow start. */
+const findNearTarget = <Target extends RoutableTarget>(
     near: readonly TargetState<Target>[],
     nearness: Nearness,
     context: DrawContext,
-): TargetState<Target> | undefined => {
-    let chosen: TargetState<Target> | undefined;
-    let lowest = nearness.nearLoad;
+): NearTarget<Target> | undefined => {
+    let found: NearTarget<Target> | undefined;
     for (const state of near.slice(0, MAXIMUM_LOOKS)) {
         const isYoung = context.now - state.startedAt < context.slowStartMs;
         if (state.circuit.state !== "closed" || isYoung || context.exclude.includes(state.target.nodeId)) {
             continue;
         }
-        const score = scoreTarget(state, context);
-        if (distanceOf(state.target, nearness) === OWN_NODE && score <= nearness.ownLoad) {
-            return state;
+        const load = scoreTarget(state, context);
+        const isOwn = distanceOf(state.target, nearness) === OWN_NODE;
+        if (isOwn && load <= nearness.ownLoad) {
+            return { state, load, hasRoom: true };
         }
-        if (score <= lowest) {
-            chosen = state;
-            lowest = score;
+        if (found === undefined || load < found.load) {
+            found = { state, load, hasRoom: load <= nearness.nearLoad };
         }
     }
-    return chosen;
+    return found;
+};
+
+/**
+ * A target nearby that has room, else one drawn from all, unless a target nearby is hardly more loaded than that. In an
+ * overload no target has room; drawn from all, nearly every request would then cross the availability zones.
+ */
+export const chooseTarget = <Target extends RoutableTarget>(
+    candidates: Candidates<Target>,
+    near: readonly TargetState<Target>[],
+    nearness: Nearness,
+    context: DrawContext,
+): TargetState<Target> | undefined => {
+    const found = findNearTarget(near, nearness, context);
+    if (found?.hasRoom === true) {
+        return found.state;
+    }
+    const drawn = drawTarget(candidates, context);
+    if (found === undefined || drawn === undefined) {
+        return drawn ?? found?.state;
+    }
+    return found.load <= nearness.nearAdvantage * scoreTarget(drawn, context) ? found.state : drawn;
 };
--- a/packages/oleandergap-routing/src/options.ts
+++ b/packages/oleandergap-routing/src/options.ts
@@ -37,6 +37,8 @@
     nearLoad: z.number().min(0).max(10).default(0.75),
     /** The same for the target on the own VM; at 1, one request more still finds a free slot there. */
     ownLoad: z.number().min(0).max(10).default(1),
+    /** Where none nearby has room, one there may be this many times as loaded as one further away. */
+    nearAdvantage: z.number().min(0).max(10).default(1.2),
     /** Time in which the spill of a zone that refuses no more falls to a third, in milliseconds. */
     spillReturnMs: z.number().min(100).max(600_000).default(5000),
     /** When to come back if a service has no target, in milliseconds. */
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -2,9 +2,9 @@
 import { formatServiceReference, type Clock, type Milliseconds, type NodeId, type ZoneName } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import { createProgress, type Choice } from "./attemptProgress.js";
-import { drawTarget, type DrawContext } from "./drawTarget.js";
+import type { DrawContext } from "./drawTarget.js";
 import { learnOutcome } from "./learnOutcome.js";
-import { findNearTarget, type Nearness } from "./nearTarget.js";
+import { chooseTarget, type Nearness } from "./nearTarget.js";
 import { defaultRoutingOptions, type PickerOptions } from "./options.js";
 import { createServiceState, refreshService, type ServiceState } from "./serviceState.js";
 import type { PickRequest, RoutableTarget, TargetPick, TargetPicker, ZoneSummary } from "./target.js";
@@ -48,8 +48,15 @@
     options = defaultRoutingOptions.picker,
 }: TargetPickerDependencies): TargetPicker<Target> => {
     const services = new Map<string, ServiceState<Target>>();
-    const { nearLoad } = options;
-    const nearness: Nearness = { ownNode, ownZone, nearLoad, ownLoad: nearLoad === 0 ? 0 : options.ownLoad };
+    const { nearLoad, nearAdvantage } = options;
+    const isNearPreferred = nearLoad > 0;
+    const nearness: Nearness = {
+        ownNode,
+        ownZone,
+        nearLoad,
+        ownLoad: isNearPreferred ? options.ownLoad : 0,
+        nearAdvantage: isNearPreferred ? nearAdvantage : 0,
+    };
     const rebuildContext = { clock, random, nearness, callerSpread: options.callerSpread };
 
     const stateOf = (request: PickRequest<Target>): ServiceState<Target> => {
@@ -82,7 +89,7 @@
     ): Choice<Target> | undefined => {
         const probed = takeProbe(zone.candidates, now, canResend, exclude);
         const context = createContext(zone, exclude, now);
-        const state = probed ?? findNearTarget(near, nearness, context) ?? drawTarget(zone.candidates, context);
+        const state = probed ?? chooseTarget(zone.candidates, near, nearness, context);
         return state === undefined ? undefined : { zone, state, isProbe: probed !== undefined };
     };
 
