--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -87,6 +87,11 @@
         linesPerSecond: options.logs.requestLinesPerSecond,
     });
 
+const createPauseLog = ({ createPartLogger }: RequestPathDependencies): (lagMs: Milliseconds) => void => {
+    const logger = createPartLogger("node");
+    return (lagMs) => logger.warn("The process was behind with its events.", { lagMs: Math.round(lagMs) });
+};
+
 const createTarget = ({
     options, clock, createPartLogger, publishTarget, view,
 }: RequestPathDependencies): TargetKeeper => createTargetKeeper({
@@ -106,11 +111,7 @@
 
     const pools = createPools(dependencies);
     const target = createTarget(dependencies);
-    const logger = createPartLogger("node");
-    const onPause = (lagMs: Milliseconds): void => {
-        logger.warn("The process was behind with its events.", { lagMs: Math.round(lagMs) });
-    };
-    const lag = startLoopLag({ clock, onPause }, signal);
+    const lag = startLoopLag({ clock, onPause: createPauseLog(dependencies) }, signal);
     const callerSignals = createCallerSignals();
     const services = (): readonly ServiceReference[] => {
         const announcement = target.current()?.announcement;
--- a/packages/oleandergap-node/src/http/turnQueue.ts
+++ b/packages/oleandergap-node/src/http/turnQueue.ts
@@ -13,8 +13,8 @@
 export type RunNextTurn = (task: () => void) => void;
 
 /**
- * Turns after which the end of a connection is known that had come before its first request was read: the end is read in
- * the turn after the data, and told in the one after that.
+ * Turns after which the end of a connection is known that had come before its first request was read: the end is read
+ * in the turn after the data, and told in the one after that.
  */
 const TURNS_TO_NOTICE_END = 2;
 
--- a/packages/oleandergap-routing/src/__tests__/overloadedZones.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/overloadedZones.test.ts
@@ -26,7 +26,8 @@
     const options = { ...defaultRoutingOptions.picker, nearAdvantage };
     const pickers = ZONES.map((ownZone, index) =>
         createTargetPicker({ ownZone, clock, random: createSeededRandom(index + 1), options }));
-    const states = new Map(targets.map(({ nodeId, slots }) => [nodeId, { slots, inFlight: 0, freeAt: [] as number[] }]));
+    const states = new Map(targets.map(({ nodeId, slots }) =>
+        [nodeId, { slots, inFlight: 0, freeAt: [] as number[] }]));
     const served = new Map<string, number>();
     let kept = 0;
     let total = 0;
@@ -43,7 +44,8 @@
         state.inFlight += 1;
         const now = clock.monotonic();
         state.freeAt = state.freeAt.filter((time) => time > now).sort((left, right) => left - right);
-        const startAt = state.freeAt.length < state.slots ? now : state.freeAt[state.freeAt.length - state.slots] ?? now;
+        const isFull = state.freeAt.length >= state.slots;
+        const startAt = isFull ? state.freeAt[state.freeAt.length - state.slots] ?? now : now;
         state.freeAt.push(startAt + SERVICE_MS);
         await clock.sleep(startAt + SERVICE_MS - now, new AbortController().signal);
         state.inFlight -= 1;
--- a/packages/oleandergap-routing/src/nearTarget.ts
+++ b/packages/oleandergap-routing/src/nearTarget.ts
@@ -6,6 +6,7 @@
  */
 import type { NodeId, ZoneName } from "oleandergap-types";
 import { drawTarget, type DrawContext } from "./drawTarget.js";
+import type { PickerOptions } from "./options.js";
 import type { RoutableTarget } from "./target.js";
 import { scoreTarget, type TargetState } from "./targetState.js";
 import type { Candidates } from "./zoneCandidates.js";
@@ -22,6 +23,15 @@
     readonly nearAdvantage: number;
 }
 
+/** What the settings say; a `nearLoad` of 0 switches all preference for what is near off. */
+export const createNearness = (
+    { nearLoad, ownLoad, nearAdvantage }: PickerOptions,
+    ownNode: NodeId | undefined,
+    ownZone: ZoneName,
+): Nearness => nearLoad === 0 ?
+    { ownNode, ownZone, nearLoad, ownLoad: 0, nearAdvantage: 0 } :
+    { ownNode, ownZone, nearLoad, ownLoad, nearAdvantage };
+
 /** Targets nearby that are looked at for one request, so that a choice costs the same in a large zone. */
 const MAXIMUM_LOOKS = 8;
 
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -4,7 +4,7 @@
 import { createProgress, type Choice } from "./attemptProgress.js";
 import type { DrawContext } from "./drawTarget.js";
 import { learnOutcome } from "./learnOutcome.js";
-import { chooseTarget, type Nearness } from "./nearTarget.js";
+import { chooseTarget, createNearness } from "./nearTarget.js";
 import { defaultRoutingOptions, type PickerOptions } from "./options.js";
 import { createServiceState, refreshService, type ServiceState } from "./serviceState.js";
 import type { PickRequest, RoutableTarget, TargetPick, TargetPicker, ZoneSummary } from "./target.js";
@@ -48,15 +48,7 @@
     options = defaultRoutingOptions.picker,
 }: TargetPickerDependencies): TargetPicker<Target> => {
     const services = new Map<string, ServiceState<Target>>();
-    const { nearLoad, nearAdvantage } = options;
-    const isNearPreferred = nearLoad > 0;
-    const nearness: Nearness = {
-        ownNode,
-        ownZone,
-        nearLoad,
-        ownLoad: isNearPreferred ? options.ownLoad : 0,
-        nearAdvantage: isNearPreferred ? nearAdvantage : 0,
-    };
+    const nearness = createNearness(options, ownNode, ownZone);
     const rebuildContext = { clock, random, nearness, callerSpread: options.callerSpread };
 
     const stateOf = (request: PickRequest<Target>): ServiceState<Target> => {
