Gate: less urgent requests take no spare time from late ones

Ruled out: the order of the queue (calls are first in it). Change: the offered load is kept by priority, as work; what is less urgent counts for nothing.

--- a/packages/oleandergap-gate/src/__tests__/objectives.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/objectives.test.ts
@@ -147,4 +147,45 @@
         expect((await call)._tag).to.equal("Right");
         expect(gate.load().queued).to.equal(lodges.length);
     });
+
+    it("takes in a late call that leaves a flood of less urgent requests no part of its wait", async () => {
+        // Symptom: a tenth of the requests at one service fail, because another service refuses the calls that they make
+        //   while it is overloaded by requests that are less urgent than calls.
+        // Sequence: lodgements arrive at twice the rate at which they run; calls take a tenth of the target's time, and
+        //   some would be answered after their objective, yet long before their deadline.
+        // Cause: a late request needs spare time, and lodgements that start after it were counted against it.
+        const clock = createManualClock();
+        const options: GateOptions = { ...defaultGateOptions, queueOrder: "objectiveFirst", fairShare: "partners" };
+        const limit = { concurrency: 100, queue: 500, timeoutMs: 1000, retryRatio: 0.1 };
+        const gate = createGate({ clock, slots: SLOTS, limit, options });
+        const { signal } = new AbortController();
+        const calls = { offered: 0, refused: 0 };
+        const ask = async (kind: "call" | "lodge"): Promise<void> => {
+            const now = clock.monotonic();
+            // A call whose caller has little time left is late from the start.
+            const [objective, deadline, serviceMs, priority] = kind === "call" ?
+                [now + 15, now + 250, 20, 0] as const :
+                [now + 400, now + 1200, 120, 1] as const;
+            const admission = await gate.admit({
+                partner: "kushiro", service: "desk", kind, priority, objective, deadline, signal,
+            });
+            calls.offered += kind === "call" ? 1 : 0;
+            if (admission._tag === "Left") {
+                calls.refused += kind === "call" ? 1 : 0;
+                return;
+            }
+            await clock.sleep(serviceMs, signal);
+            admission.right.release("Answered");
+        };
+        for (let time = 0; time < 4000; time += STEP_MS) {
+            void ask("lodge");
+            if (time % 15 === 0) {
+                void ask("call");
+            }
+            await clock.advance(STEP_MS);
+        }
+        await clock.advance(2000);
+        expect(calls.offered).to.be.above(250);
+        expect(calls.refused).to.be.below(0.02 * calls.offered);
+    });
 });
--- a/packages/oleandergap-gate/src/forecast.ts
+++ b/packages/oleandergap-gate/src/forecast.ts
@@ -26,6 +26,8 @@
     readonly observe: (kind: string, outcome: ReleaseOutcome, duration: Milliseconds) => void;
     /** Typical service time of a kind; 0 while nothing is known, so that nobody is refused for it. */
     readonly serviceTime: (kind: string) => Milliseconds;
+    /** Time for which a request of a kind holds a slot; an assumed one while nothing is known. */
+    readonly holdingTime: (kind: string) => Milliseconds;
     /** Time in which the gate serves one request. */
     readonly interval: (state: GateState) => Milliseconds;
     /** Wait of a new request that has `ahead` others before it. */
@@ -94,6 +96,8 @@
             add(estimatorOf(kind), outcome, duration);
         },
         serviceTime: (kind) => estimators.get(kind)?.typical() ?? 0,
+        holdingTime: (kind) =>
+            estimators.get(kind)?.average() ?? estimator.average() ?? options.assumedServiceTimeMs,
         interval,
         wait,
         bookReturn: (state, earliest, now) => retryAfter.book(now, earliest, interval(state)),
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -130,7 +130,10 @@
         if (refusalAtOnce !== undefined) {
             return refusalAtOnce;
         }
-        offered.note(now);
+        offered.note({
+            priority: request.priority ?? 0,
+            serviceTime: forecast.holdingTime(request.kind ?? USUAL_KIND),
+        }, now);
         ranks.refuseHopeless(now);
         const timely = ranks.flowOf(request, false);
         const ahead = queue.countAhead(timely, timesOf(request));
--- a/packages/oleandergap-gate/src/lateRequests.ts
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -4,7 +4,8 @@
  * In a queue by arrival, a target that is offered more than it can do answers everybody late: each request waits behind
  * others that are late already, and one would see it busy all the time with next to no answer in time. Requests that
  * can still be in time therefore go first. Those that cannot run when the others leave room; if they do not, they are
- * refused at once instead of being held until their deadlines.
+ * refused at once instead of being held until their deadlines. Less urgent requests are no such others: counted as well,
+ * they would have calls of running targets refused at a busy target, and the requests that made the calls fail.
  */
 import type { Milliseconds } from "oleandergap-types";
 import { USUAL_KIND, type AdmissionRequest } from "./admission.js";
@@ -15,7 +16,7 @@
 const MINIMUM_SPARE = 0.05;
 
 /** The times that a decision depends on; monotonic. */
-export type Timing = Pick<AdmissionRequest, "deadline" | "objective" | "kind">;
+export type Timing = Pick<AdmissionRequest, "deadline" | "objective" | "kind" | "priority">;
 
 export interface LateRequestsDependencies {
     readonly forecast: Forecast;
@@ -40,7 +41,7 @@
         missingTime: (timing, ahead, now) => {
             const current = state();
             const wait = forecast.wait(current, ahead, now);
-            const spare = 1 - offered.utilisation(now, forecast.interval(current));
+            const spare = 1 - offered.utilisation(timing.priority ?? 0, current.capacity, now);
             const needed = spare < MINIMUM_SPARE ? wait / MINIMUM_SPARE : wait / spare;
             return now + needed + serviceTime(timing) - timing.deadline;
         },
--- a/packages/oleandergap-gate/src/offeredLoad.ts
+++ b/packages/oleandergap-gate/src/offeredLoad.ts
@@ -1,4 +1,4 @@
-/** How much work arrives at a gate, compared with what its target can do. */
+/** How much work arrives at a gate, compared with what its target can do, by how urgent it is. */
 import type { Milliseconds } from "oleandergap-types";
 
 /**
@@ -7,31 +7,61 @@
  */
 const MEMORY_MS: Milliseconds = 300;
 
+/** A request that arrived, whatever becomes of it. */
+export interface OfferedRequest {
+    /** Requests of a lower number start first. */
+    readonly priority: number;
+    /** Time for which it would hold a slot. */
+    readonly serviceTime: Milliseconds;
+}
+
 /** A running estimate of the arrivals. */
 export interface OfferedLoad {
-    /** A request arrived, whatever becomes of it. */
-    readonly note: (now: Milliseconds) => void;
+    readonly note: (request: OfferedRequest, now: Milliseconds) => void;
     /**
-     * Work that arrives as a part of what the target can do; above 1, a queue grows without end.
-     *
-     * @param interval time in which the target serves one request
+     * Work of this and more urgent priorities that arrives, as a part of what the target can do; above 1, their queue
+     * grows without end. What is less urgent starts after them, and takes nothing from them.
      */
-    readonly utilisation: (now: Milliseconds, interval: Milliseconds) => number;
+    readonly utilisation: (priority: number, capacity: number, now: Milliseconds) => number;
+}
+
+interface Work {
+    amountMs: Milliseconds;
+    notedAt: Milliseconds;
 }
 
+/** Work that counts for nothing; its priority is forgotten. */
+const NEGLIGIBLE_MS: Milliseconds = 0.01;
+
+const decay = ({ amountMs, notedAt }: Work, now: Milliseconds): Milliseconds =>
+    amountMs * Math.exp(-Math.max(0, now - notedAt) / MEMORY_MS);
+
 /** Starts without arrivals. */
 export const createOfferedLoad = (): OfferedLoad => {
-    let weight = 0;
-    let notedAt = Number.NEGATIVE_INFINITY;
-
-    const decay = (now: Milliseconds): number =>
-        weight === 0 ? 0 : weight * Math.exp(-Math.max(0, now - notedAt) / MEMORY_MS);
+    const byPriority = new Map<number, Work>();
 
     return {
-        note: (now) => {
-            weight = decay(now) + 1;
-            notedAt = now;
+        note: ({ priority, serviceTime }, now) => {
+            const work = byPriority.get(priority);
+            if (work === undefined) {
+                byPriority.set(priority, { amountMs: serviceTime, notedAt: now });
+                return;
+            }
+            work.amountMs = decay(work, now) + serviceTime;
+            work.notedAt = now;
+        },
+        utilisation: (priority, capacity, now) => {
+            let amountMs = 0;
+            for (const [other, work] of byPriority) {
+                const left = decay(work, now);
+                if (left < NEGLIGIBLE_MS) {
+                    byPriority.delete(other);
+                }
+                else if (other <= priority) {
+                    amountMs += left;
+                }
+            }
+            return amountMs / (MEMORY_MS * Math.max(1, capacity));
         },
-        utilisation: (now, interval) => (decay(now) / MEMORY_MS) * interval,
     };
 };
--- a/packages/oleandergap-gate/src/rankedQueue.ts
+++ b/packages/oleandergap-gate/src/rankedQueue.ts
@@ -2,13 +2,16 @@
 import type { Milliseconds } from "oleandergap-types";
 import type { AdmissionRequest } from "./admission.js";
 import type { FairQueue, Flow, Waiting } from "./fairQueue.js";
-import type { LateRequests } from "./lateRequests.js";
+import type { LateRequests, Timing } from "./lateRequests.js";
 import type { FairShare } from "./options.js";
 import type { Decision, Refusals } from "./refusals.js";
 import type { Waiter } from "./waitingRequests.js";
 
 const RANKS_PER_PRIORITY = 2;
 
+const timingOf = ({ deadline, objective, kind, flow }: Waiter): Timing =>
+    ({ deadline, objective, kind, priority: Math.floor(flow.priority / RANKS_PER_PRIORITY) });
+
 /** Shortest time between two looks for waiting requests without hope. */
 const LOOK_INTERVAL_MS: Milliseconds = 20;
 
@@ -42,7 +45,7 @@
         const { caller, priority } = waiter.flow;
         const lateFlow = queue.flowOf(caller, priority + 1);
         queue.dropIfIdle(waiter.flow);
-        const missing = late.missingTime(waiter, queue.countAhead(lateFlow, waiter), now);
+        const missing = late.missingTime(timingOf(waiter), queue.countAhead(lateFlow, waiter), now);
         if (missing > 0) {
             queue.dropIfIdle(lateFlow);
             waiter.settle(refusals.forCapacity("DeadlineTooShort", missing));
@@ -61,7 +64,7 @@
             return;
         }
         lookedAt = now;
-        const hopeless = queue.takeAll((waiter, flow) => isLate(flow) && late.missingTime(waiter, 0, now) > 0);
+        const hopeless = queue.takeAll((waiter, flow) => isLate(flow) && late.missingTime(timingOf(waiter), 0, now) > 0);
         for (const waiter of hopeless) {
             queue.dropIfIdle(waiter.flow);
             waiter.settle(refusals.forCapacity("DeadlineTooShort"));
