--- a/packages/oleandergap-gate/src/__tests__/objectives.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/objectives.test.ts
@@ -149,8 +149,8 @@
     });
 
     it("takes in a late call that leaves a flood of less urgent requests no part of its wait", async () => {
-        // Symptom: a tenth of the requests at one service fail, because another service refuses the calls that they make
-        //   while it is overloaded by requests that are less urgent than calls.
+        // Symptom: a tenth of the requests at one service fail, because another service refuses the calls that they
+        //   make while it is overloaded by requests that are less urgent than calls.
         // Sequence: lodgements arrive at twice the rate at which they run; calls take a tenth of the target's time, and
         //   some would be answered after their objective, yet long before their deadline.
         // Cause: a late request needs spare time, and lodgements that start after it were counted against it.
--- a/packages/oleandergap-gate/src/lateRequests.ts
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -4,8 +4,8 @@
  * In a queue by arrival, a target that is offered more than it can do answers everybody late: each request waits behind
  * others that are late already, and one would see it busy all the time with next to no answer in time. Requests that
  * can still be in time therefore go first. Those that cannot run when the others leave room; if they do not, they are
- * refused at once instead of being held until their deadlines. Less urgent requests are no such others: counted as well,
- * they would have calls of running targets refused at a busy target, and the requests that made the calls fail.
+ * refused at once instead of being held until their deadlines. Less urgent requests are no such others: if they were
+ * counted as well, calls of running targets would be refused at a busy target, and the requests that made them fail.
  */
 import type { Milliseconds } from "oleandergap-types";
 import { USUAL_KIND, type AdmissionRequest } from "./admission.js";
--- a/packages/oleandergap-gate/src/rankedQueue.ts
+++ b/packages/oleandergap-gate/src/rankedQueue.ts
@@ -64,7 +64,8 @@
             return;
         }
         lookedAt = now;
-        const hopeless = queue.takeAll((waiter, flow) => isLate(flow) && late.missingTime(timingOf(waiter), 0, now) > 0);
+        const hopeless = queue.takeAll((waiter, flow) =>
+            isLate(flow) && late.missingTime(timingOf(waiter), 0, now) > 0);
         for (const waiter of hopeless) {
             queue.dropIfIdle(waiter.flow);
             waiter.settle(refusals.forCapacity("DeadlineTooShort"));
