Node: the last target of a service serves on until another one is back

Change: a stopping node's gate closes after stop.serveMs only if another target takes requests, else up to stop.serveLongestMs. Tests: stopStages.test.ts.

--- a/packages/oleandergap-node/src/__tests__/stopStages.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopStages.test.ts
@@ -2,7 +2,7 @@
 import { createManualClock } from "oleandergap-utils";
 import { runStopStages } from "../stopStages.js";
 
-const STOP = { serveMs: 1500, acceptMs: 2300, lingerMs: 500, drainTimeoutMs: 5600 };
+const STOP = { serveMs: 1500, serveLongestMs: 3500, acceptMs: 2300, lingerMs: 500, drainTimeoutMs: 5600 };
 
 describe("runStopStages", () => {
     // Symptom: while nodes restart one after the other, requests are refused although their targets stand idle.
@@ -20,6 +20,7 @@
         };
         const startedAt = clock.monotonic();
         const stages = {
+            hasSubstitute: () => true,
             closeGate: () => {
                 note("gate closed")();
                 return gate;
@@ -39,6 +40,7 @@
         const events: string[] = [];
         const limit = new AbortController();
         const stages = {
+            hasSubstitute: () => false,
             closeGate: async () => events.push("gate closed"),
             refuseCallers: () => events.push("callers refused"),
         };
@@ -47,4 +49,23 @@
         await stopped;
         expect(events).to.have.members(["gate closed", "callers refused"]);
     });
+
+    // Symptom: all requests of a service are refused for a second while nodes restart in turn.
+    // Sequence: the nodes of its two targets are told to stop a second apart; the second gate closes before the first
+    //   node is back.
+    // Cause: each node closes its gate after the same time, whatever the others do.
+    it("keeps the gate of a service's last target open until another one is back, and not for ever", async () => {
+        const clock = createManualClock();
+        const closeTimes: number[] = [];
+        const startedAt = clock.monotonic();
+        const run = (isBackAfterMs: number): Promise<void> => runStopStages(clock, STOP, {
+            hasSubstitute: () => clock.monotonic() - startedAt >= isBackAfterMs,
+            closeGate: async () => closeTimes.push(clock.monotonic() - startedAt),
+            refuseCallers: () => undefined,
+        }, new AbortController().signal);
+        const all = Promise.all([run(0), run(2600), run(60_000)]);
+        await clock.advance(6000);
+        await all;
+        expect(closeTimes).to.deep.equal([1500, 2600, 3500]);
+    });
 });
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -67,6 +67,8 @@
     readonly handleGateway: HandleRequest;
     /** Gives every caller whose request is under way its final answer. */
     readonly giveUpAll: () => void;
+    /** Whether another target of the own target's service takes requests, or there is no own target. */
+    readonly hasSubstitute: () => boolean;
 }
 
 const findRow = (view: TableView, { partner, service }: ServiceReference): ServiceRow | undefined =>
@@ -104,26 +106,45 @@
     slowStartMs: options.routing.picker.slowStartMs,
 });
 
-export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
-    const { options, clock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
-    const { requests } = options;
-    let attempts = 0;
+/** The service of the own target, and the nodes that serve it as well. */
+interface OwnService {
+    /** Empty while there is no target. */
+    readonly services: () => readonly ServiceReference[];
+    /** Nodes whose targets of a service take requests. */
+    readonly listMembers: (service: ServiceReference) => readonly NodeId[];
+    readonly hasSubstitute: RequestPath["hasSubstitute"];
+}
 
-    const pools = createPools(dependencies);
-    const target = createTarget(dependencies);
-    const lag = startLoopLag({ clock, onPause: createPauseLog(dependencies) }, signal);
-    const callerSignals = createCallerSignals();
-    const services = (): readonly ServiceReference[] => {
+const createOwnService = (
+    { options, view, directory }: RequestPathDependencies,
+    target: TargetKeeper,
+): OwnService => {
+    const services: OwnService["services"] = () => {
         const announcement = target.current()?.announcement;
         return announcement === undefined ? [] : [{ partner: announcement.partner, service: announcement.service }];
     };
-    const listMembers = (service: ServiceReference): readonly NodeId[] => {
+    const listMembers: OwnService["listMembers"] = (service) => {
         const table = view().get(service.partner);
         const row = findRow(view(), service);
         return table === undefined || row === undefined ?
             [] :
-            listOwners(dependencies.directory.targetsOf(service, listServingZones(table, row)));
+            listOwners(directory.targetsOf(service, listServingZones(table, row)));
     };
+    const hasSubstitute = (): boolean =>
+        services().every((service) => listMembers(service).some((node) => node !== options.nodeId));
+    return { services, listMembers, hasSubstitute };
+};
+
+export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
+    const { options, clock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
+    const { requests } = options;
+    let attempts = 0;
+
+    const pools = createPools(dependencies);
+    const target = createTarget(dependencies);
+    const lag = startLoopLag({ clock, onPause: createPauseLog(dependencies) }, signal);
+    const callerSignals = createCallerSignals();
+    const { services, listMembers, hasSubstitute } = createOwnService(dependencies, target);
     const claims = createClaims({
         tableService: dependencies.tableService,
         clock,
@@ -222,5 +243,14 @@
         countRequest: (end, duration) => metrics.countRequest("gateway", end, duration),
         logFailure: createLog(dependencies),
     });
-    return { target, claims, claimSweeper, pools, handleGate, handleGateway, giveUpAll: callerSignals.giveUpAll };
+    return {
+        target,
+        claims,
+        claimSweeper,
+        pools,
+        handleGate,
+        handleGateway,
+        giveUpAll: callerSignals.giveUpAll,
+        hasSubstitute,
+    };
 };
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -117,6 +117,7 @@
     readiness.draining = true;
     listeners.gateway.announceClose();
     await runStopStages(clock, options.stop, {
+        hasSubstitute: requestPath.hasSubstitute,
         closeGate: () => Promise.all([controlPlane.membership.leave(), waitForGate(dependencies, drainSignal)]),
         refuseCallers: () => {
             readiness.refusing = true;
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -62,6 +62,8 @@
 const stopSchema = z.strictObject({
     /** The gate of a stopping node still lets requests in for this time. */
     serveMs: z.number().int().min(0).max(60_000).default(0),
+    /** And for up to this time while no other target of the service takes requests. */
+    serveLongestMs: z.number().int().min(0).max(60_000).default(0),
     /** A stopping node that says on /readyz that it leaves still serves callers for this time. */
     acceptMs: z.number().int().min(0).max(60_000).default(0),
     /** Time in which other nodes and callers learn that this node leaves; it still answers, with refusals. */
--- a/packages/oleandergap-node/src/stopStages.ts
+++ b/packages/oleandergap-node/src/stopStages.ts
@@ -7,11 +7,16 @@
  * and one would see the other targets refuse requests. The gate therefore closes later, just early enough that what it
  * let in is through when the callers are sent away.
  */
-import type { Clock } from "oleandergap-types";
+import type { Clock, Milliseconds } from "oleandergap-types";
 import type { NodeOptions } from "./options.js";
 
+/** Distance of two looks for another target. */
+const LOOK_INTERVAL_MS: Milliseconds = 50;
+
 /** What closes at each stage. */
 export interface StopStages {
+    /** Whether another target of the own target's service takes requests, or there is none to replace. */
+    readonly hasSubstitute: () => boolean;
     /** Tells the other nodes, and resolves when the gate is empty or the time for that is over. */
     readonly closeGate: () => Promise<unknown>;
     /** From now on callers are refused. */
@@ -21,12 +26,25 @@
 /** Resolves when the last stage is over; sooner when `signal` aborts. */
 export const runStopStages = async (
     clock: Clock,
-    { serveMs, acceptMs, lingerMs }: NodeOptions["stop"],
-    { closeGate, refuseCallers }: StopStages,
+    { serveMs, serveLongestMs, acceptMs, lingerMs }: NodeOptions["stop"],
+    { hasSubstitute, closeGate, refuseCallers }: StopStages,
     signal: AbortSignal,
 ): Promise<void> => {
+    const startedAt = clock.monotonic();
+
+    /**
+     * Nodes that restart one after the other may overlap. If each closed after the same time, the gates of all targets
+     * of a small service could be closed at once; one would see all its requests refused for a second or two.
+     */
+    const waitForSubstitute = async (): Promise<void> => {
+        while (!hasSubstitute() && clock.monotonic() - startedAt < serveLongestMs && !signal.aborted) {
+            await clock.sleep(LOOK_INTERVAL_MS, signal);
+        }
+    };
+
     const closeTarget = async (): Promise<void> => {
         await clock.sleep(serveMs, signal);
+        await waitForSubstitute();
         await closeGate();
     };
     const closeGateway = async (): Promise<void> => {
