Node: what waits at the gate of a stopping node is sent elsewhere

Requests that wait were told to go elsewhere when the target leaves, and not when the node does. Ruled out: the wait for a substitute (three other targets of each service were listed), long runs alone (most kinds take under 0.9 s). Change: a stopping node refuses what waits after target.leavingQueueMs (1 s) as well; those requests have not run, and their gateways send them on. Test: targetKeeper.test.ts; without the change the request waits for its deadline of 60 s.

--- a/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
@@ -186,4 +186,25 @@
         expect(published.at(-1)).to.equal(undefined);
         await clock.advance(0);
     });
+
+    // Symptom: requests are given up at the end of a node's time for draining, although other targets have room.
+    // Sequence: requests wait at a gate whose target is slow; its node is told to stop; they go on waiting there.
+    // Cause: what waits was told to go elsewhere when the target leaves, and not when the node does.
+    it("sends what waits elsewhere when its node stops", async () => {
+        const { clock, keeper } = setUp();
+        keeper.announce(createAnnouncement(TARGET_PORT));
+        const { signal } = new AbortController();
+        const ask = (): Promise<string> | undefined => keeper.current()?.gate.admit({
+            partner: "halloway", service: "grant-filer", deadline: clock.monotonic() + 60_000, signal,
+        }).then((admission) => admission._tag === "Left" && admission.left.kind === "Refused" ?
+            admission.left.reason :
+            admission._tag);
+        const slots = createAnnouncement(TARGET_PORT).slots;
+        const running = Array.from({ length: Math.min(slots, TEST_LIMIT.concurrency) }, ask);
+        const waiting = ask();
+        void keeper.stop();
+        await clock.advance(1001);
+        expect(await Promise.all(running)).to.include("Right");
+        expect(await waiting).to.equal("Draining");
+    });
 });
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -36,7 +36,7 @@
     readonly createGate: (limit: Limit, slots: number) => Gate;
     /** A target that stays away for so long is gone. */
     readonly heartbeatTimeoutMs: Milliseconds;
-    /** Requests that still wait this long after their target began to leave are refused. */
+    /** Requests that still wait this long after their target began to leave, or their node to stop, are refused. */
     readonly leavingQueueMs: Milliseconds;
     /** Time over which other nodes raise the share of a new target; see `PickerOptions`. */
     readonly slowStartMs: Milliseconds;
@@ -52,7 +52,7 @@
     readonly refreshLimit: () => void;
     /** Lets the target leave on behalf of an operator; false when it is not the target of `service`. */
     readonly drain: (service: ServiceReference) => boolean;
-    /** Stops to admit requests, and resolves when those in flight are through. */
+    /** Stops to admit requests, refuses before long what waits, and resolves when those in flight are through. */
     readonly stop: () => Promise<void>;
 }
 
@@ -102,7 +102,8 @@
 
     /**
      * What runs finishes. What waits has a short time to start: a target may be gone soon after it said so, and a
-     * request that it received in its last moments would be lost.
+     * request that it received in its last moments would be lost. At a gate whose node stops, a long queue would take all
+     * the time for draining, at the end of which what still runs is given up.
      */
     const closeGate = (gate: Gate): void => {
         void gate.drain();
@@ -200,7 +201,11 @@
         stop: async () => {
             stopping = true;
             expiry.cancel();
-            await target?.gate.drain();
+            if (target !== undefined) {
+                const { gate } = target;
+                closeGate(gate);
+                await gate.drain();
+            }
         },
     };
 };
