--- a/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
@@ -194,11 +194,14 @@
         const { clock, keeper } = setUp();
         keeper.announce(createAnnouncement(TARGET_PORT));
         const { signal } = new AbortController();
-        const ask = (): Promise<string> | undefined => keeper.current()?.gate.admit({
-            partner: "halloway", service: "grant-filer", deadline: clock.monotonic() + 60_000, signal,
-        }).then((admission) => admission._tag === "Left" && admission.left.kind === "Refused" ?
-            admission.left.reason :
-            admission._tag);
+        const ask = async (): Promise<string | undefined> => {
+            const admission = await keeper.current()?.gate.admit({
+                partner: "halloway", service: "grant-filer", deadline: clock.monotonic() + 60_000, signal,
+            });
+            return admission?._tag === "Left" && admission.left.kind === "Refused" ?
+                admission.left.reason :
+                admission?._tag;
+        };
         const slots = createAnnouncement(TARGET_PORT).slots;
         const running = Array.from({ length: Math.min(slots, TEST_LIMIT.concurrency) }, ask);
         const waiting = ask();
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -102,8 +102,8 @@
 
     /**
      * What runs finishes. What waits has a short time to start: a target may be gone soon after it said so, and a
-     * request that it received in its last moments would be lost. At a gate whose node stops, a long queue would take all
-     * the time for draining, at the end of which what still runs is given up.
+     * request that it received in its last moments would be lost. At a gate whose node stops, a long queue would take
+     * all the time for draining, at the end of which what still runs is given up.
      */
     const closeGate = (gate: Gate): void => {
         void gate.drain();
