Routing: a node refuses what the targets of an overloaded service would refuse

Change: each node sends at most twice what was accepted lately, by service, route, and whether the caller returns, and at least a fifth; the rest is refused at once (LimitReached). Only where targets are placed by load. Tests: overloadThrottle.test.ts.

--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -3,7 +3,13 @@
 import { createGate } from "oleandergap-gate";
 import { createClaimSweeper, type ClaimSweeper } from "oleandergap-idempotency";
 import type { TargetDirectory, TargetMember } from "oleandergap-membership";
-import { createRequestRouter, createTargetPicker } from "oleandergap-routing";
+import {
+    createOverloadThrottle,
+    createRequestRouter,
+    createTargetPicker,
+    type RequestRouter,
+    type TargetPicker,
+} from "oleandergap-routing";
 import type {
     Clock,
     GateLoad,
@@ -89,6 +95,16 @@
         linesPerSecond: options.logs.requestLinesPerSecond,
     });
 
+const createRouter = (
+    { options, clock, random }: RequestPathDependencies,
+    picker: TargetPicker<TargetMember>,
+): RequestRouter<TargetMember> => createRequestRouter({
+    clock,
+    picker,
+    options: options.routing.retry,
+    throttle: createOverloadThrottle(clock, random),
+});
+
 const createPauseLog = ({ createPartLogger }: RequestPathDependencies): (lagMs: Milliseconds) => void => {
     const logger = createPartLogger("node");
     return (lagMs) => logger.warn("The process was behind with its events.", { lagMs: Math.round(lagMs) });
@@ -208,7 +224,7 @@
             directory: dependencies.directory,
             firstLookupMs: requests.firstLookupMs,
         }),
-        router: createRequestRouter({ clock, picker, options: options.routing.retry }),
+        router: createRouter(dependencies, picker),
         findOwnerRouter: options.keyOwnership.enabled ?
             createOwnerRouting({ clock, partitions: options.keyOwnership.partitions }) :
             () => undefined,
--- a/packages/oleandergap-node/src/gateway/callerRequest.ts
+++ b/packages/oleandergap-node/src/gateway/callerRequest.ts
@@ -40,6 +40,8 @@
     readonly deadline: Milliseconds;
     /** Time until which an answer is worth most; undefined without a route. */
     readonly objective: Milliseconds | undefined;
+    /** The caller seems to have been refused before. */
+    readonly isReturning: boolean;
 }
 
 const MAX_HOST_LENGTH = 2 * MAX_NAME_LENGTH + ".:65535".length;
@@ -192,5 +194,6 @@
         idempotencyKey: idempotent ? undefined : idempotencyKey,
         deadline: receivedAt + chooseTimeout(destination.right, timeout.right),
         objective: route && receivedAt + route.targetLatencyMs - waitedMs,
+        isReturning: waitedMs > 0,
     });
 };
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -117,6 +117,7 @@
             retriesAllowed: !dialect.forbidsRetries(passage.request),
             maximumTargets: caller.maximumTargets,
             kind: caller.kind,
+            isReturning: caller.isReturning,
             signal,
         }, (target, context) =>
             dependencies.send(target, { request: caller, caller: passage.callingService, body, ...context }));
--- /dev/null
+++ b/packages/oleandergap-routing/src/__tests__/overloadThrottle.test.ts
@@ -0,0 +1,68 @@
+import { expect } from "chai";
+import { createManualClock, createSeededRandom } from "oleandergap-utils";
+import { createOverloadThrottle } from "../overloadThrottle.js";
+
+const KIND = "lodge";
+
+interface Played {
+    readonly offered: number;
+    readonly sent: number;
+    readonly accepted: number;
+}
+
+/** Offers a request every 10 ms for a time, to a target that accepts one each `acceptEveryMs`. */
+const play = async (acceptEveryMs: number, durationMs: number): Promise<Played> => {
+    const clock = createManualClock();
+    const throttle = createOverloadThrottle(clock, createSeededRandom(1));
+    const counts = { offered: 0, sent: 0, accepted: 0 };
+    let freeAt = clock.monotonic();
+    for (let time = 0; time < durationMs; time += 10) {
+        counts.offered += 1;
+        if (throttle.admits(KIND)) {
+            counts.sent += 1;
+            if (clock.monotonic() >= freeAt) {
+                freeAt = clock.monotonic() + acceptEveryMs;
+                counts.accepted += 1;
+                throttle.noteAccepted(KIND);
+            }
+        }
+        await clock.advance(10);
+    }
+    return counts;
+};
+
+describe("createOverloadThrottle", () => {
+    // Symptom: the node of a service's last target is too busy with refusals to keep its target at work.
+    // Sequence: all targets of a service but one go; all nodes send all its requests to that one.
+    // Cause: only the gate refuses, and it has to receive a request for that.
+    it("sends little more than is accepted, and all of that", async () => {
+        const short = await play(100, 20_000);
+        expect(short.sent).to.be.below(0.35 * short.offered);
+        expect(short.accepted).to.be.above(0.6 * (short.offered / 10));
+    });
+
+    it("sends everything while all of it is accepted", async () => {
+        const calm = await play(10, 5000);
+        expect(calm.sent).to.equal(calm.offered);
+    });
+
+    it("sends everything again soon after there is room", async () => {
+        const clock = createManualClock();
+        const throttle = createOverloadThrottle(clock, createSeededRandom(2));
+        for (let count = 0; count < 300; count++) {
+            throttle.admits(KIND);
+            await clock.advance(10);
+        }
+        let refused = 0;
+        for (let count = 0; count < 600; count++) {
+            if (throttle.admits(KIND)) {
+                throttle.noteAccepted(KIND);
+            }
+            else {
+                refused += count >= 400 ? 1 : 0;
+            }
+            await clock.advance(10);
+        }
+        expect(refused).to.equal(0);
+    });
+});
--- a/packages/oleandergap-routing/src/index.ts
+++ b/packages/oleandergap-routing/src/index.ts
@@ -5,3 +5,4 @@
 export { createTargetPicker, type TargetPickerDependencies } from "./targetPicker.js";
 export { createRequestRouter, type RequestRouterDependencies } from "./requestRouter.js";
 export * from "./measure/index.js";
+export { createOverloadThrottle, type OverloadThrottle } from "./overloadThrottle.js";
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -20,6 +20,8 @@
     readonly maximumTargets?: number | undefined;
     /** Requests of one kind take about the same time; all are alike when it is not given. */
     readonly kind?: string;
+    /** The caller was refused before; such requests are the first that a busy target refuses. */
+    readonly isReturning?: boolean;
     /** Aborts when the caller hangs up. */
     readonly signal: AbortSignal;
 }
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -13,6 +13,8 @@
     Routed,
     RoutedFailure,
 } from "./requestExecution.js";
+import { isShortage } from "./learnOutcome.js";
+import type { OverloadThrottle } from "./overloadThrottle.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { mayRetry } from "./retryDecision.js";
 import type { AttemptOutcome, PickRequest, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
@@ -22,6 +24,8 @@
     readonly clock: Clock;
     readonly picker: TargetPicker<Target>;
     readonly options?: RetryOptions;
+    /** Refuses requests of overloaded services placed by load before they are sent; nothing is refused without it. */
+    readonly throttle?: OverloadThrottle;
 }
 
 const toOutcome = (failure: RequestFailure, waitedMs: Milliseconds, isTimeout: boolean): AttemptOutcome => {
@@ -40,14 +44,41 @@
     }
 };
 
-const refuse = (reason: "Cancelled" | "DeadlinePassed" | "NoTarget"): RequestFailure =>
+const refuse = (reason: "Cancelled" | "DeadlinePassed" | "LimitReached" | "NoTarget"): RequestFailure =>
     ({ kind: "Refused", verdict: "notRun", reason, retryAfterMs: 0 });
 
+/** Whether a request was refused for want of capacity in the end. */
+const wasShort = (routed: Either<RoutedFailure, unknown>): boolean =>
+    either.isLeft(routed) && routed.left.failure.kind === "Refused" && isShortage(routed.left.failure.reason);
+
+/** Refuses what the throttle does not admit, and tells it what became of the rest. */
+const throttleRequests = <Target extends RoutableTarget>(
+    throttle: OverloadThrottle,
+    picker: TargetPicker<Target>,
+    execute: RequestRouter<Target>["execute"],
+): RequestRouter<Target>["execute"] => async (execution, attempt) => {
+    const { service, row, kind = "", isReturning = false } = execution;
+    // With weights, each zone's share goes there whatever room it has; only placement by load tells of the service.
+    if (row.placement !== "load") {
+        return execute(execution, attempt);
+    }
+    const throttled = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+    if (!throttle.admits(throttled)) {
+        return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
+    }
+    const routed = await execute(execution, attempt);
+    if (!wasShort(routed)) {
+        throttle.noteAccepted(throttled);
+    }
+    return routed;
+};
+
 /** Creates the router of one node; each service has a retry budget of its own. */
 export const createRequestRouter = <Target extends RoutableTarget>({
     clock,
     picker,
     options = defaultRoutingOptions.retry,
+    throttle,
 }: RequestRouterDependencies<Target>): RequestRouter<Target> => {
     const budgets = new Map<string, RetryBudget>();
 
@@ -134,7 +165,7 @@
         budget,
     });
 
-    const execute = async <Answer>(
+    const attemptAll = async <Answer>(
         execution: RequestExecution<Target>,
         attempt: Attempt<Target, Answer>,
     ): Promise<Either<RoutedFailure, Routed<Answer>>> => {
@@ -165,5 +196,5 @@
         }
     };
 
-    return { execute };
+    return { execute: throttle === undefined ? attemptAll : throttleRequests(throttle, picker, attemptAll) };
 };
