Comments: figures as measured; names

Cause: read as a newcomer, two comments gave figures that no run stood behind. Ruled out: a change of behaviour; only comments and one local name changed.

--- a/packages/oleandergap-configuration/src/version/delta.ts
+++ b/packages/oleandergap-configuration/src/version/delta.ts
@@ -57,9 +57,8 @@
 };
 
 /**
- * The step between two versions that both arrived whole, so that it can be handed on in place of the second one; in a
- * table of 300 routes of which one changed, its text is a two-hundredth of the document's. Undefined when the versions
- * are too far apart for one step.
+ * The step between two versions that both arrived whole, so that it can be handed on in place of the second one.
+ * Undefined when the versions are too far apart for one step.
  */
 export const deriveDelta = (previous: PartnerDocument, next: PartnerDocument): Delta | undefined => {
     const [before, after] = [getRowIndex(previous), getRowIndex(next)];
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -105,7 +105,7 @@
 export const startListener = (options: ListenerOptions): TaskEither<ListenError, Listener> => async () => {
     const { turns = { run: startAtOnce, runFirst: startAtOnce } } = options;
     /** Connections that have brought a request before. */
-    const acquainted = new WeakSet<Socket>();
+    const knownSockets = new WeakSet<Socket>();
     let inFlight = 0;
     let draining = false;
     let onEmpty: (() => void) | undefined;
@@ -121,8 +121,8 @@
         if (draining) {
             response.setHeader("connection", "close");
         }
-        const run = acquainted.has(request.socket) ? turns.run : turns.runFirst;
-        acquainted.add(request.socket);
+        const run = knownSockets.has(request.socket) ? turns.run : turns.runFirst;
+        knownSockets.add(request.socket);
         run(() => options.handle(request, response));
     };
 
--- a/packages/oleandergap-node/src/stopStages.ts
+++ b/packages/oleandergap-node/src/stopStages.ts
@@ -1,5 +1,5 @@
 /**
- * The order in which a stopping node closes its doors.
+ * The order in which a stopping node stops to serve.
  *
  * Callers go on coming until they have been told twice that the node is not ready, and the target beside a node that
  * restarts lives on. A gate that closed with the signal to stop would leave that target idle for as long as callers are
--- a/packages/oleandergap-routing/src/overloadThrottle.ts
+++ b/packages/oleandergap-routing/src/overloadThrottle.ts
@@ -4,7 +4,8 @@
  * A refusal costs the node of a target hardly less processor time than a request that runs. When a service has lost
  * all its targets but one, that one's node meets the requests of the whole fleet; one would see it too busy with
  * refusals to keep its target at work, and calls that need an answer in a quarter of a second run out of time. Each
- * node therefore sends at most a multiple of what was accepted lately, and refuses the rest itself, at once.
+ * node therefore sends at most a multiple of what was accepted lately, and refuses the rest itself, at once: where a
+ * tenth of the requests can be accepted, less than 0.35 of them are sent.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
