Platform: one copy of what lists the changes of a row

Cause: read as a newcomer, the adapter and the configuration each listed the cells that differ between two states of a row.

--- a/packages/oleandergap-configuration/src/index.ts
+++ b/packages/oleandergap-configuration/src/index.ts
@@ -11,7 +11,7 @@
 export type { OfferOutcome } from "./store/partnerStore.js";
 export { parseTable } from "./table/parseTable.js";
 export * from "./table/tableProblem.js";
-export { applyDeltas, createNextVersion, type NextVersion } from "./version/delta.js";
+export { applyDeltas, createNextVersion, listRowChanges, type NextVersion } from "./version/delta.js";
 export { computeDigest } from "./version/digest.js";
 export { readCell } from "./version/rowIndex.js";
 export * from "./version/document.js";
--- a/packages/oleandergap-configuration/src/version/delta.ts
+++ b/packages/oleandergap-configuration/src/version/delta.ts
@@ -43,7 +43,8 @@
 
 const NO_CELLS: RowCells = new Map();
 
-const listRowChanges = (before: RowCells, after: RowCells): readonly CellChange[] => {
+/** What leads from one state of a row to another; a row that does not exist has no cells. */
+export const listRowChanges = (before: RowCells, after: RowCells): readonly CellChange[] => {
     const removed = [...before]
         .filter(([cell]) => !after.has(cell))
         .map(([cell, value]): CellChange => ({ cell, before: value }));
