Node, platform: lifetimes of targets that start again under their name; announcements of other writers

Cause: a target may start again under its id, and then counts its announcements anew. Lifetimes were told apart by id alone, so all that the new one said was dropped as late until its count had caught up. Ruled out: to trust a lower count after a pause (a cut of some seconds delays announcements as long).

--- a/packages/oleandergap-node/src/__tests__/lifetimes.test.ts
+++ b/packages/oleandergap-node/src/__tests__/lifetimes.test.ts
@@ -41,4 +41,26 @@
         expect(lifetimes.accept(createAnnouncement(17_090))).to.equal(true);
         expect(lifetimes.accept(createAnnouncement(17_090))).to.equal(true);
     });
+
+    it("knows a target that starts again under its name", () => {
+        // Symptom: a target that has restarted receives no request for as long as its former life lasted.
+        // Sequence: a target has announced itself 40 times; it crashes, starts again under its name and counts from 0.
+        // Cause: lifetimes were told apart by name alone, so its announcements were taken for late ones.
+        const lifetimes = createLifetimes();
+        const inLife = (bornAt: number, sequence: number): Announcement => ({ ...announce("first", sequence), bornAt });
+        expect(lifetimes.accept(inLife(1000, 40))).to.equal(true);
+        expect(lifetimes.accept(inLife(2000, 0))).to.equal(true);
+        expect(lifetimes.accept(inLife(1000, 41))).to.equal(false);
+        expect(lifetimes.accept(inLife(2000, 1))).to.equal(true);
+    });
+
+    it("lets a target come back under the name with which it said goodbye", () => {
+        const lifetimes = createLifetimes();
+        const inLife = (bornAt: number, sequence: number): Announcement => ({ ...announce("first", sequence), bornAt });
+        lifetimes.accept(inLife(1000, 3));
+        expect(lifetimes.end("first", 1000)).to.equal(true);
+        expect(lifetimes.accept(inLife(2000, 0))).to.equal(true);
+        expect(lifetimes.end("first", 1000)).to.equal(false);
+        expect(lifetimes.accept(inLife(2000, 1))).to.equal(true);
+    });
 });
--- a/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
@@ -8,6 +8,8 @@
 
 const HEARTBEAT_TIMEOUT_MS = 3000;
 const TARGET_PORT = 17090;
+/** No table has a row of it. */
+const UNKNOWN_SERVICE = "elsewhere";
 
 interface Setup {
     readonly clock: ManualClock;
@@ -24,7 +26,7 @@
         clock,
         logger: createLogger("test"),
         publish: (target) => published.push(target),
-        limitOf: () => limit,
+        limitOf: ({ service }) => service === UNKNOWN_SERVICE ? undefined : limit,
         createGate: (initial, slots) => createGate({ clock, limit: initial, slots }),
         heartbeatTimeoutMs: HEARTBEAT_TIMEOUT_MS,
         leavingQueueMs: 1000,
@@ -210,4 +212,31 @@
         expect(await Promise.all(running)).to.include("Right");
         expect(await waiting).to.equal("Draining");
     });
+
+    it("starts a new gate for a target that started again under its name", () => {
+        // Symptom: a restarted target gets fewer requests than it has slots.
+        // Sequence: a target crashes with requests under way and starts again under the same name.
+        // Cause: the gate of its former life still counted what was lost with it.
+        const { keeper, published } = setUp();
+        const inLife = (bornAt: number) => ({ ...createAnnouncement(TARGET_PORT), instanceId: "first", bornAt });
+        keeper.announce({ ...inLife(1000), sequence: 40 });
+        const former = keeper.current()?.gate;
+        keeper.announce({ ...inLife(2000), sequence: 0 });
+
+        expect(keeper.current()?.gate).to.not.equal(former);
+        expect(keeper.current()?.announcement.bornAt).to.equal(2000);
+        keeper.withdraw("first", 1000);
+        expect(published.at(-1)).to.not.equal(undefined);
+    });
+
+    it("keeps its target when an unknown service is announced", () => {
+        // Symptom: a target that is well receives no requests any more.
+        // Sequence: another writer sends an announcement of a service that no table names.
+        // Cause: whatever was announced last took the place of the present target.
+        const { keeper } = setUp();
+        keeper.announce(createAnnouncement(TARGET_PORT));
+        keeper.announce({ ...createAnnouncement(TARGET_PORT + 1), service: UNKNOWN_SERVICE });
+
+        expect(keeper.current()?.announcement.port).to.equal(TARGET_PORT);
+    });
 });
--- a/packages/oleandergap-node/src/admin/readJson.ts
+++ b/packages/oleandergap-node/src/admin/readJson.ts
@@ -34,18 +34,30 @@
     return result.success ? either.right(result.data) : either.left(result.error.issues.map(describeIssue).join("; "));
 };
 
-/** Checks the body against `schema`; the left side says what is wrong with it. */
-export const readJson = async <Schema extends z.ZodType>(
-    request: IncomingMessage,
-    schema: Schema,
-): Promise<Either<string, z.output<Schema>>> => {
+const readBody = async (request: IncomingMessage): Promise<Either<string, string>> => {
     try {
         const text = await readText(request);
         return text === undefined ?
             either.left(`the body is longer than ${MAX_JSON_BYTES} bytes`) :
-            parseText(schema, text);
+            either.right(text);
     }
     catch {
         return either.left("the body broke off");
     }
 };
+
+/** Checks the body against `schema`; the left side says what is wrong with it. */
+export const readJson = async <Schema extends z.ZodType>(
+    request: IncomingMessage,
+    schema: Schema,
+): Promise<Either<string, z.output<Schema>>> =>
+    either.chain((text: string) => parseText(schema, text))(await readBody(request));
+
+/** The same for a body that may be absent, which gives undefined. */
+export const readOptionalJson = async <Schema extends z.ZodType>(
+    request: IncomingMessage,
+    schema: Schema,
+): Promise<Either<string, z.output<Schema> | undefined>> =>
+    either.chain((text: string) => text === "" ? either.right(undefined) : parseText(schema, text))(
+        await readBody(request),
+    );
--- a/packages/oleandergap-node/src/index.ts
+++ b/packages/oleandergap-node/src/index.ts
@@ -4,7 +4,7 @@
 export * from "./options.js";
 export * from "./runUntilSignal.js";
 export type { Readiness } from "./admin/readiness.js";
-export { readJson } from "./admin/readJson.js";
+export { readJson, readOptionalJson } from "./admin/readJson.js";
 export { readAnswerHeader, type AnswerHeaders } from "./http/answer.js";
 export type { AnswerNotes, CallerDialect, Dialects, TargetDialect, TargetRequest } from "./http/dialect.js";
 export { readHeaderPair, readRequestHeader } from "./http/headers.js";
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -45,8 +45,8 @@
 export interface TargetKeeper {
     /** Takes an announcement or its repetition. */
     readonly announce: (announcement: Announcement) => void;
-    /** The target is gone; with `instanceId`, only if it is that lifetime of it. */
-    readonly withdraw: (instanceId?: string) => void;
+    /** The target is gone; with `instanceId` and `bornAt` (Unix time), only if it is that lifetime of it. */
+    readonly withdraw: (instanceId?: string, bornAt?: Milliseconds) => void;
     readonly current: () => LocalTarget | undefined;
     /** Takes changed limits of the table into force. */
     readonly refreshLimit: () => void;
@@ -67,7 +67,8 @@
     left.service === right.service &&
     left.address === right.address &&
     left.port === right.port &&
-    left.instanceId === right.instanceId;
+    left.instanceId === right.instanceId &&
+    left.bornAt === right.bornAt;
 
 export const createTargetKeeper = (dependencies: TargetKeeperDependencies): TargetKeeper => {
     const { clock, logger } = dependencies;
@@ -120,9 +121,10 @@
         }
     };
 
-    const withdraw: TargetKeeper["withdraw"] = (instanceId) => {
-        if (instanceId !== undefined) {
-            lifetimes.end(instanceId);
+    const withdraw: TargetKeeper["withdraw"] = (instanceId, bornAt) => {
+        if (instanceId !== undefined && !lifetimes.end(instanceId, bornAt)) {
+            logger.info("A goodbye of a former lifetime is late.", { instance: instanceId, bornAt });
+            return;
         }
         if (instanceId === undefined || target?.announcement.instanceId === instanceId) {
             removeTarget();
@@ -157,8 +159,24 @@
         }
     };
 
+    /**
+     * An announcement of a service that no table names may come from a writer of another kind. If it took the place of
+     * a target that serves, one would see that target's share refused although it is well.
+     */
+    const isForeign = (announcement: Announcement): boolean =>
+        target !== undefined &&
+        dependencies.limitOf(target.announcement) !== undefined &&
+        dependencies.limitOf(announcement) === undefined;
+
     const announce = (announcement: Announcement): void => {
-        if (stopping || !lifetimes.accept(announcement)) {
+        if (stopping) {
+            return;
+        }
+        if (isForeign(announcement)) {
+            logger.warn("An announcement names an unknown service.", { ...describeTarget(announcement) });
+            return;
+        }
+        if (!lifetimes.accept(announcement)) {
             return;
         }
         expiry.arm();
--- a/packages/oleandergap-types/src/member.ts
+++ b/packages/oleandergap-types/src/member.ts
@@ -19,8 +19,10 @@
     connections: z.number().int().min(1).max(100_000),
     /** The target will stop soon: it receives no new request. */
     leaving: z.boolean().default(false),
-    /** Names one lifetime of the target's process; a target that restarts has another one. */
+    /** Names the target's process; a target that restarts may have another one or the same. */
     instanceId: z.string().min(1).max(128).optional(),
+    /** Unix time at which the process started: tells lifetimes of one `instanceId` apart. Absent when it does not say. */
+    bornAt: z.number().int().nonnegative().optional(),
     /** Grows with each announcement of one lifetime; an older one that arrives late is dropped. */
     sequence: z.number().int().nonnegative().optional(),
     /** How long a target that has just started stays slow; absent when it does not say. */
