--- a/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
+++ b/packages/oleandergap-node/src/__tests__/targetKeeper.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { createGate } from "oleandergap-gate";
 import { createLogger } from "oleandergap-logger";
-import type { Limit, MemberTarget } from "oleandergap-types";
+import type { Announcement, Limit, MemberTarget } from "oleandergap-types";
 import { createManualClock, type ManualClock } from "oleandergap-utils";
 import { createTargetKeeper, type TargetKeeper } from "../target/targetKeeper.js";
 import { createAnnouncement, TEST_LIMIT } from "./support.js";
@@ -218,7 +218,8 @@
         // Sequence: a target crashes with requests under way and starts again under the same name.
         // Cause: the gate of its former life still counted what was lost with it.
         const { keeper, published } = setUp();
-        const inLife = (bornAt: number) => ({ ...createAnnouncement(TARGET_PORT), instanceId: "first", bornAt });
+        const inLife = (bornAt: number): Announcement =>
+            ({ ...createAnnouncement(TARGET_PORT), instanceId: "first", bornAt });
         keeper.announce({ ...inLife(1000), sequence: 40 });
         const former = keeper.current()?.gate;
         keeper.announce({ ...inLife(2000), sequence: 0 });
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -62,6 +62,14 @@
 const describeTarget = ({ partner, service, port, instanceId }: Announcement): LogContext =>
     ({ service: `${partner}/${service}`, port, instance: instanceId });
 
+const toMemberTarget = ({ announcement, leaving, since }: LocalTarget): MemberTarget => ({
+    partner: announcement.partner,
+    service: announcement.service,
+    slots: announcement.slots,
+    leaving,
+    since,
+});
+
 const isSameTarget = (left: Announcement, right: Announcement): boolean =>
     left.partner === right.partner &&
     left.service === right.service &&
@@ -70,6 +78,17 @@
     left.instanceId === right.instanceId &&
     left.bornAt === right.bornAt;
 
+/**
+ * An announcement of a service that no table names may come from a writer of another kind. If it took the place of a
+ * target that serves, one would see that target's share refused although it is well.
+ */
+const isForeign = (
+    target: LocalTarget | undefined,
+    announcement: Announcement,
+    limitOf: TargetKeeperDependencies["limitOf"],
+): boolean =>
+    target !== undefined && limitOf(target.announcement) !== undefined && limitOf(announcement) === undefined;
+
 export const createTargetKeeper = (dependencies: TargetKeeperDependencies): TargetKeeper => {
     const { clock, logger } = dependencies;
     let target: LocalTarget | undefined;
@@ -78,13 +97,7 @@
     const expiry = createExpiry(clock, dependencies.heartbeatTimeoutMs, () => removeTarget());
 
     const publish = (): void => {
-        dependencies.publish(target === undefined ? undefined : {
-            partner: target.announcement.partner,
-            service: target.announcement.service,
-            slots: target.announcement.slots,
-            leaving: target.leaving,
-            since: target.since,
-        });
+        dependencies.publish(target && toMemberTarget(target));
     };
 
     const applyLimit = (local: LocalTarget): void => {
@@ -159,20 +172,11 @@
         }
     };
 
-    /**
-     * An announcement of a service that no table names may come from a writer of another kind. If it took the place of
-     * a target that serves, one would see that target's share refused although it is well.
-     */
-    const isForeign = (announcement: Announcement): boolean =>
-        target !== undefined &&
-        dependencies.limitOf(target.announcement) !== undefined &&
-        dependencies.limitOf(announcement) === undefined;
-
     const announce = (announcement: Announcement): void => {
         if (stopping) {
             return;
         }
-        if (isForeign(announcement)) {
+        if (isForeign(target, announcement, dependencies.limitOf)) {
             logger.warn("An announcement names an unknown service.", { ...describeTarget(announcement) });
             return;
         }
--- a/packages/oleandergap-types/src/member.ts
+++ b/packages/oleandergap-types/src/member.ts
@@ -21,7 +21,7 @@
     leaving: z.boolean().default(false),
     /** Names the target's process; a target that restarts may have another one or the same. */
     instanceId: z.string().min(1).max(128).optional(),
-    /** Unix time at which the process started: tells lifetimes of one `instanceId` apart. Absent when it does not say. */
+    /** Unix time at which the process started, if it says so: tells lifetimes of one `instanceId` apart. */
     bornAt: z.number().int().nonnegative().optional(),
     /** Grows with each announcement of one lifetime; an older one that arrives late is dropped. */
     sequence: z.number().int().nonnegative().optional(),
