--- a/packages/oleandergap-logger/src/logger.ts
+++ b/packages/oleandergap-logger/src/logger.ts
@@ -2,11 +2,8 @@
  * Short log lines, each with the fixed prefix of the part that wrote it. Lines go to standard error as roarr's JSON,
  * so that standard output stays free for results.
  */
-
-// Without this variable at the time of its import, the library replaces every logger by one that drops all lines, even
-// when `ROARR.write` is set later; one would see a daemon without any log. It is therefore set before the import.
-process.env["ROARR_LOG"] = "true";
-const { ROARR, Roarr: rootLogger } = await import("roarr");
+import "./enableLibrary.js";
+import { ROARR, Roarr as rootLogger } from "roarr";
 
 /** Facts that accompany a line. Never a secret: credentials are not passed to loggers. */
 export type LogContext = Readonly<Record<string, string | number | boolean | undefined>>;
--- a/packages/oleandergap-utils/src/rendezvousHash.ts
+++ b/packages/oleandergap-utils/src/rendezvousHash.ts
@@ -2,12 +2,12 @@
  * Rendezvous (highest random weight) hashing: ranks candidates for a key so that every node computes the same order
  * without talking, and a candidate that joins or leaves moves only its own share.
  */
-import xxhash from "xxhash-wasm";
+import { xxHash32 } from "js-xxhash";
 
-const hasher = await xxhash();
+const SEED = 0;
 
 /** A 32-bit hash of a text; equal on every machine. */
-export const hashText = (text: string): number => hasher.h32(text);
+export const hashText = (text: string): number => xxHash32(text, SEED);
 
 interface Scored<Candidate> {
     readonly candidate: Candidate;
