Node: one line a second and place on how requests ended

Ruled out: a larger budget of lines (each takes processor time that requests lack just then). Change: counts by route and end, for the gateway and for the gate, with the load of the gate, in one line each for every second in which a request failed; bounded in kinds and length (requestTally.test.ts).

--- a/packages/oleandergap-node/src/admin/metrics.ts
+++ b/packages/oleandergap-node/src/admin/metrics.ts
@@ -40,7 +40,8 @@
 
 const verdictOf = (end: RequestEnd): Verdict => end.kind === "Answered" ? "ran" : end.failure.verdict;
 
-const reasonOf = (end: RequestEnd): string =>
+/** Class of the status, as `2xx`, or the reason of the failure. */
+export const reasonOf = (end: RequestEnd): string =>
     end.kind === "Answered" ? `${Math.floor(end.statusCode / STATUS_CLASS_SIZE)}xx` : reasonOfFailure(end.failure);
 
 export const createNodeMetrics = (): NodeMetrics => {
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -23,9 +23,11 @@
 } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import { findClosure, type ReadinessState } from "./admin/readiness.js";
-import type { NodeMetrics } from "./admin/metrics.js";
+import { reasonOf, type NodeMetrics, type ServedAt } from "./admin/metrics.js";
+import { createRequestTally, type RequestTally } from "./admin/requestTally.js";
 import { createClaims, type Claims } from "./gate/createClaims.js";
 import { createGateHandler } from "./gate/gateHandler.js";
+import type { ServeAtGate } from "./gate/gateRequest.js";
 import { createServeAtGate } from "./gate/serveAtGate.js";
 import { createCallerPatience } from "./gateway/callerPatience.js";
 import { createGatewayHandler } from "./gateway/gatewayHandler.js";
@@ -37,6 +39,7 @@
 import type { Dialects } from "./http/dialect.js";
 import { createCallerSignals } from "./http/callerSignal.js";
 import { startLoopLag } from "./http/loopLag.js";
+import { isFailedEnd, toRequestEnd, type RequestEnd } from "./http/requestEnd.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
 import type { HandleRequest } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
@@ -122,6 +125,22 @@
     slowStartMs: options.routing.picker.slowStartMs,
 });
 
+const tallyEnd = (
+    tally: RequestTally,
+    at: ServedAt,
+    kind: string,
+    end: RequestEnd,
+    durationMs: Milliseconds,
+): void => tally.note({ at, kind, end: reasonOf(end), isFailure: isFailedEnd(end), durationMs });
+
+/** Sums up all that arrives at the gate, from other nodes and from this one. */
+const tallyGate = (clock: Clock, tally: RequestTally, serve: ServeAtGate): ServeAtGate => async (request) => {
+    const startedAt = clock.monotonic();
+    const outcome = await serve(request);
+    tallyEnd(tally, "gate", request.kind, toRequestEnd(outcome), clock.monotonic() - startedAt);
+    return outcome;
+};
+
 /** The service of the own target, and the nodes that serve it as well. */
 interface OwnService {
     /** Empty while there is no target. */
@@ -151,6 +170,18 @@
     return { services, listMembers, hasSubstitute };
 };
 
+const createSweeper = (
+    { options, clock, random, tableService, createPartLogger }: RequestPathDependencies,
+    services: OwnService["services"],
+): ClaimSweeper => createClaimSweeper({
+    tableService,
+    clock,
+    random,
+    logger: createPartLogger("claims"),
+    options: options.claims,
+    services,
+});
+
 export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
     const { options, clock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
     const { requests } = options;
@@ -175,15 +206,11 @@
         isMember: (node) => services().some((service) => listMembers(service).includes(node)),
         signal,
     });
-    const claimSweeper = createClaimSweeper({
-        tableService: dependencies.tableService,
-        clock,
-        random,
-        logger: createPartLogger("claims"),
-        options: options.claims,
-        services,
-    });
-    const serve = createServeAtGate({
+    const claimSweeper = createSweeper(dependencies, services);
+    const load = (): GateLoad | undefined => target.current()?.gate.load();
+    const tally = createRequestTally({ clock, logger: createPartLogger("request"), load });
+    tally.start(signal);
+    const serve = tallyGate(clock, tally, createServeAtGate({
         clock,
         pools,
         claims,
@@ -193,8 +220,7 @@
         minSilenceMs: requests.targetSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
         catchUp: lag.catchUp,
-    });
-    const load = (): GateLoad | undefined => target.current()?.gate.load();
+    }));
     const handleGate = createGateHandler({
         clock,
         logger: createPartLogger("gate"),
@@ -256,7 +282,10 @@
             return announcement !== undefined && announcement.address === address ? announcement : undefined;
         },
         maxBodyBytes: requests.maxBodyBytes,
-        countRequest: (end, duration) => metrics.countRequest("gateway", end, duration),
+        countRequest: (end, duration, kind) => {
+            metrics.countRequest("gateway", end, duration);
+            tallyEnd(tally, "gateway", kind, end, duration);
+        },
         logFailure: createLog(dependencies),
     });
     return {
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -46,7 +46,8 @@
     /** The service of this node's target, when `address` is its address: such a caller is that service. */
     readonly callerAt: (address: string | undefined) => ServiceReference | undefined;
     readonly maxBodyBytes: number;
-    readonly countRequest: (end: RequestEnd, duration: Milliseconds) => void;
+    /** `kind` is the name of the route, or empty. */
+    readonly countRequest: (end: RequestEnd, duration: Milliseconds, kind: string) => void;
     readonly logFailure: LogFailedRequest;
 }
 
@@ -87,7 +88,7 @@
         const context = { statusCode: isLate ? HTTP_STATUS.gatewayTimeout : undefined, retryAfterMs };
         const described = dialect.describeFailure(failure, context);
         writeFailure(passage.response, described, describeAnswer(passage, failure.verdict));
-        dependencies.countRequest({ kind: "Failed", failure }, now - passage.startedAt);
+        dependencies.countRequest({ kind: "Failed", failure }, now - passage.startedAt, passage.caller?.kind ?? "");
         dependencies.logFailure({
             id: passage.requestId,
             caller: passage.caller,
@@ -130,7 +131,7 @@
         const { answer, retriedBelow } = routed.right;
         passage.isRetried = retriedBelow;
         const duration = clock.monotonic() - passage.startedAt;
-        dependencies.countRequest({ kind: "Answered", statusCode: answer.statusCode }, duration);
+        dependencies.countRequest({ kind: "Answered", statusCode: answer.statusCode }, duration, caller.kind);
         writeAnswer(passage.response, answer, describeAnswer(passage, "ran"));
     };
 
--- a/packages/oleandergap-node/src/http/requestEnd.ts
+++ b/packages/oleandergap-node/src/http/requestEnd.ts
@@ -8,6 +8,12 @@
     | { readonly kind: "Answered"; readonly statusCode: number }
     | { readonly kind: "Failed"; readonly failure: RequestFailure };
 
+const FIRST_ERROR_STATUS = 500;
+
+/** Whether a target or the system failed to serve the request. */
+export const isFailedEnd = (end: RequestEnd): boolean =>
+    end.kind === "Failed" || end.statusCode >= FIRST_ERROR_STATUS;
+
 export const toRequestEnd = (outcome: Either<RequestFailure, Answer>): RequestEnd =>
     either.isRight(outcome) ?
         { kind: "Answered", statusCode: outcome.right.statusCode } :
