Membership: a node that finds nobody asks its neighbours

The two substitutes start at new addresses, have no seed (the platform names none) and can read no roster; nobody knows them, so they stay alone, never ready, and their targets get no request until the store is back: two of five targets of a service for eight seconds. Off by default; set on the platform, where VMs are numbered in a row. Test that fails without it: roster.test.ts.

--- a/packages/oleandergap-membership/src/__tests__/roster.test.ts
+++ b/packages/oleandergap-membership/src/__tests__/roster.test.ts
@@ -64,6 +64,22 @@
 });
 
 describe("createRosterKeeper", () => {
+    it("lets a new node find its zone while the platform is away", async () => {
+        // Symptom: the substitutes of two released targets receive no request for eight seconds.
+        // Sequence: the platform's store goes down; new VMs start, without seeds and without a roster.
+        // Cause: a node that nobody names and that can read no roster had no address to ask.
+        const world = createTestWorld(1);
+        const roster = createRosterStore();
+        const overrides = { seeds: [], objectStore: roster.store, options: { neighbourSpan: 16 } };
+        const nodes = [0, 1, 2].map((index) => world.startNode(index, overrides));
+        await world.clock.advance(15_000);
+        roster.isDown = true;
+        const newcomer = world.startNode(9, overrides);
+        await world.clock.advance(2500);
+        expect(knownIds(newcomer)).to.deep.equal(idsOf([...nodes, newcomer]));
+        expect(nodes.map(knownIds)).to.deep.equal(nodes.map(() => idsOf([...nodes, newcomer])));
+    });
+
     it("lets nodes without any seed find each other, and writes only on change", async () => {
         const world = createTestWorld(1);
         const roster = createRosterStore();
--- /dev/null
+++ b/packages/oleandergap-membership/src/neighbours.ts
@@ -0,0 +1,42 @@
+/**
+ * The addresses beside the own one, where other nodes may be found.
+ *
+ * A node that starts while the platform's store is away has no roster, and no other node knows it. Unless a seed
+ * answers, it stays alone until the store is back; one would see a new VM that is never ready and its target without
+ * requests, just when others have left.
+ */
+import { isIPv4 } from "node:net";
+import type { Endpoint } from "./transport.js";
+
+const BITS_PER_PART = 8;
+const PARTS = 4;
+const PART_MASK = 0xff;
+
+/** Where a node can be asked. */
+interface OwnPlace {
+    readonly address: string;
+    readonly controlPort: number;
+}
+
+const toNumber = (address: string): number =>
+    address.split(".").reduce((number, part) => number * (PART_MASK + 1) + Number(part), 0);
+
+const toAddress = (number: number): string => Array.from({ length: PARTS }, (_, index) =>
+    Math.floor(number / 2 ** (BITS_PER_PART * (PARTS - 1 - index))) & PART_MASK).join(".");
+
+/** Up to `span` addresses on each side that differ from the own one in the last part only; none for IPv6. */
+export const listNeighbours = ({ address, controlPort }: OwnPlace, span: number): readonly Endpoint[] => {
+    if (span === 0 || !isIPv4(address)) {
+        return [];
+    }
+    const own = toNumber(address);
+    const first = own - (own & PART_MASK);
+    const endpoints: Endpoint[] = [];
+    for (let number = own - span; number <= own + span; number++) {
+        const isInRow = number > first && number < first + PART_MASK;
+        if (number !== own && isInRow) {
+            endpoints.push({ address: toAddress(number), port: controlPort });
+        }
+    }
+    return endpoints;
+};
--- a/packages/oleandergap-membership/src/options.ts
+++ b/packages/oleandergap-membership/src/options.ts
@@ -52,6 +52,11 @@
     /** The roster object is written or read at most this often. */
     rosterPeriodMs: periodSchema.default(30_000),
     seeds: z.array(seedSchema).max(64).default([]),
+    /**
+     * A node that finds nobody asks so many addresses on each side of its own as well, at its own control port; 0 for
+     * networks in which the VMs of a zone are not numbered in a row.
+     */
+    neighbourSpan: z.number().int().min(0).max(64).default(0),
 });
 export type MembershipOptions = z.infer<typeof membershipOptionsSchema>;
 
--- a/packages/oleandergap-membership/src/rejoiner.ts
+++ b/packages/oleandergap-membership/src/rejoiner.ts
@@ -7,6 +7,7 @@
 import { endpointOf, type Prober } from "./prober.js";
 import type { RosterKeeper } from "./roster.js";
 import type { Synchronizer } from "./synchronizer.js";
+import { listNeighbours } from "./neighbours.js";
 import { formatEndpoint, type Endpoint } from "./transport.js";
 
 const JOIN_FANOUT = 3;
@@ -14,6 +15,8 @@
 const MAX_JOIN_RETRY_MS: Milliseconds = 5000;
 /** Attempts without an answer after which the roster is read. */
 const ATTEMPTS_BEFORE_ROSTER = 2;
+/** From this attempt on the neighbours are asked as well: the roster usually answers the first one. */
+const ATTEMPTS_BEFORE_NEIGHBOURS = 2;
 const MAX_CANDIDATES = 256;
 
 export interface Rejoiner {
@@ -67,6 +70,9 @@
         if (attempts > ATTEMPTS_BEFORE_ROSTER || known.length === 0) {
             readRoster(signal);
         }
+        if (attempts >= ATTEMPTS_BEFORE_NEIGHBOURS) {
+            listNeighbours(self, options.neighbourSpan).forEach(synchronizer.compareWith);
+        }
     };
 
     /**
