Gate: in time is what nine in ten of a kind keep to

Hypothesis: a request counts as in time if the median run would be, so in an overload half of what is let in comes late. Ruled out: newest first (passes over requests that learn of it near their deadlines; docs/LOAD.md).

--- a/packages/oleandergap-gate/src/__tests__/objectives.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/objectives.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createManualClock } from "oleandergap-utils";
+import { createManualClock, createSeededRandom } from "oleandergap-utils";
 import { createGate, defaultGateOptions, type GateOptions, type QueueOrder } from "../index.js";
 
 const SLOTS = 12;
@@ -27,12 +27,25 @@
 
 const ONCE: Callers = { returns: 0, countsFromFirst: true };
 
+/** Gives each run its time. */
+type DrawServiceTime = () => number;
+
+/** Run times whose logarithms are spread by a half around the usual one, as those of real services are. */
+const createVaryingTimes = (seed: number): DrawServiceTime => {
+    const random = createSeededRandom(seed);
+    return () => {
+        const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+        return SERVICE_MS * Math.exp(0.5 * normal - 0.125);
+    };
+};
+
 /** Offers `rate` times what the target can do for `durationMs`, evenly spaced. */
 const play = async (
     rate: number,
     durationMs: number,
     queueOrder: QueueOrder,
     { returns, countsFromFirst }: Callers = ONCE,
+    drawServiceTime: DrawServiceTime = () => SERVICE_MS,
 ): Promise<Played> => {
     const clock = createManualClock();
     const options: GateOptions = { ...defaultGateOptions, queueOrder, fairShare: "partners" };
@@ -56,7 +69,7 @@
             }
             return;
         }
-        await clock.sleep(SERVICE_MS, signal);
+        await clock.sleep(drawServiceTime(), signal);
         admission.right.release("Answered");
         const isInTime = clock.monotonic() - first <= OBJECTIVE_MS;
         counts.inTime += isInTime ? 1 : 0;
@@ -103,6 +116,18 @@
         expect(byFirst.late).to.be.below(byReturn.late / 4);
     });
 
+    it("answers most in time also when runs take different times", async () => {
+        // Symptom: in an overload a third to a half of the answers come late, although requests are refused for it.
+        // Sequence: a third more requests arrive than the target can run; their runs differ in length.
+        // Cause: a request counted as in time if half of its like would be; the queue grew until half were late.
+        // Of a capacity of 1200 in 10 s, with the first seed: 924 in time and 314 late before, 1149 and 81 now.
+        for (const seed of [1, 2, 3]) {
+            const { inTime, late } = await play(1.33, 10_000, "objectiveFirst", ONCE, createVaryingTimes(seed));
+            expect(inTime).to.be.above(1100);
+            expect(late).to.be.below(0.1 * inTime);
+        }
+    });
+
     it("serves late what came in a short burst, when there is room after it", async () => {
         const burst = await play(4, 400, "objectiveFirst");
         expect(burst.late).to.be.above(0);
--- a/packages/oleandergap-gate/src/forecast.ts
+++ b/packages/oleandergap-gate/src/forecast.ts
@@ -26,6 +26,8 @@
     readonly observe: (kind: string, outcome: ReleaseOutcome, duration: Milliseconds) => void;
     /** Typical service time of a kind; 0 while nothing is known, so that nobody is refused for it. */
     readonly serviceTime: (kind: string) => Milliseconds;
+    /** Service time that nine in ten requests of a kind keep to; 0 while nothing is known. */
+    readonly likelyServiceTime: (kind: string) => Milliseconds;
     /** Time for which a request of a kind holds a slot; an assumed one while nothing is known. */
     readonly holdingTime: (kind: string) => Milliseconds;
     /** Time in which the gate serves one request. */
@@ -96,6 +98,7 @@
             add(estimatorOf(kind), outcome, duration);
         },
         serviceTime: (kind) => estimators.get(kind)?.typical() ?? 0,
+        likelyServiceTime: (kind) => estimators.get(kind)?.likely() ?? 0,
         holdingTime: (kind) =>
             estimators.get(kind)?.average() ?? estimator.average() ?? options.assumedServiceTimeMs,
         interval,
--- a/packages/oleandergap-gate/src/lateRequests.ts
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -34,10 +34,12 @@
 export const createLateRequests = ({ forecast, offered, state }: LateRequestsDependencies): LateRequests => {
     const serviceTime = ({ kind = USUAL_KIND }: Timing): Milliseconds => forecast.serviceTime(kind);
 
+    const likelyTime = ({ kind = USUAL_KIND }: Timing): Milliseconds => forecast.likelyServiceTime(kind);
+
     return {
         isLate: (timing, ahead, now) =>
             timing.objective !== undefined &&
-            now + forecast.wait(state(), ahead, now) + serviceTime(timing) > timing.objective,
+            now + forecast.wait(state(), ahead, now) + likelyTime(timing) > timing.objective,
         missingTime: (timing, ahead, now) => {
             const current = state();
             const wait = forecast.wait(current, ahead, now);
