Routing, node: refuse what would run for nothing; a stopping node serves its target's calls to the end

Ruled out: to let calls before confirmations (the operator's rank says otherwise, and a confirmation is worth as much as the calls that fit into its time); to tell calls by their address (callers of a VM share it).

--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -92,6 +92,7 @@
         closed,
         callerAt: () => undefined,
         maxBodyBytes: options.maxBodyBytes ?? 64 * 1024 * 1024,
+        noteUnserved: () => undefined,
         countRequest: () => undefined,
         logFailure: () => undefined,
     }));
--- a/packages/oleandergap-node/src/__tests__/stopStages.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopStages.test.ts
@@ -26,6 +26,7 @@
                 return gate;
             },
             refuseCallers: note("callers refused"),
+            knowsOwnTarget: true,
         };
         const stopped = runStopStages(clock, STOP, stages, new AbortController().signal).then(note("stopped"));
         await clock.advance(3000);
@@ -43,6 +44,7 @@
             hasSubstitute: () => false,
             closeGate: async () => events.push("gate closed"),
             refuseCallers: () => events.push("callers refused"),
+            knowsOwnTarget: true,
         };
         const stopped = runStopStages(clock, STOP, stages, limit.signal);
         limit.abort();
@@ -62,10 +64,32 @@
             hasSubstitute: () => clock.monotonic() - startedAt >= isBackAfterMs,
             closeGate: async () => closeTimes.push(clock.monotonic() - startedAt),
             refuseCallers: () => undefined,
+            knowsOwnTarget: true,
         }, new AbortController().signal);
         const all = Promise.all([run(0), run(2600), run(60_000)]);
         await clock.advance(6000);
         await all;
         expect(closeTimes).to.deep.equal([1500, 2600, 3500]);
     });
+
+    // Symptom: in the last second of a stopping node's gate, two thirds of the runs behind it fail.
+    // Sequence: a node whose callers and target look alike stops; its gate serves on, as no other target is there yet;
+    //   callers are refused, and with them the calls that the runs at its target make.
+    // Cause: callers were refused at a fixed time, whatever still ran at the gate.
+    it("accepts callers until the gate is empty where the target is not known from them", async () => {
+        const clock = createManualClock();
+        const startedAt = clock.monotonic();
+        const refusedAt: number[] = [];
+        const stopped = runStopStages(clock, STOP, {
+            hasSubstitute: () => false,
+            closeGate: () => clock.sleep(400, new AbortController().signal),
+            refuseCallers: () => refusedAt.push(clock.monotonic() - startedAt),
+            knowsOwnTarget: false,
+        }, new AbortController().signal);
+        await clock.advance(3850);
+        expect(refusedAt).to.deep.equal([]);
+        await clock.advance(1000);
+        await stopped;
+        expect(refusedAt).to.deep.equal([3900]);
+    });
 });
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -6,6 +6,7 @@
 import {
     createOverloadThrottle,
     createRequestRouter,
+    createStarvationThrottle,
     createTargetPicker,
     type RequestRouter,
     type TargetPicker,
@@ -29,6 +30,7 @@
 import { createGateHandler } from "./gate/gateHandler.js";
 import type { ServeAtGate } from "./gate/gateRequest.js";
 import { createServeAtGate } from "./gate/serveAtGate.js";
+import { createUnservedCalls } from "./gate/unservedCalls.js";
 import { createCallerPatience } from "./gateway/callerPatience.js";
 import { createGatewayHandler } from "./gateway/gatewayHandler.js";
 import { createSendToGate } from "./gateway/sendToGate.js";
@@ -78,6 +80,8 @@
     readonly giveUpAll: () => void;
     /** Whether another target of the own target's service takes requests, or there is no own target. */
     readonly hasSubstitute: () => boolean;
+    /** Whether requests of the own target are known from those of other callers. */
+    readonly knowsOwnTarget: boolean;
 }
 
 const findRow = (view: TableView, { partner, service }: ServiceReference): ServiceRow | undefined =>
@@ -105,7 +109,8 @@
     clock,
     picker,
     options: options.routing.retry,
-    throttle: createOverloadThrottle(clock, random),
+    throttle: options.routing.refusals.overload ? createOverloadThrottle(clock, random) : undefined,
+    starvation: options.routing.refusals.starvation ? createStarvationThrottle(clock, random) : undefined,
 });
 
 const createPauseLog = ({ createPartLogger }: RequestPathDependencies): (lagMs: Milliseconds) => void => {
@@ -210,6 +215,7 @@
     const load = (): GateLoad | undefined => target.current()?.gate.load();
     const tally = createRequestTally({ clock, logger: createPartLogger("request"), load });
     tally.start(signal);
+    const unservedCalls = createUnservedCalls(clock);
     const serve = tallyGate(clock, tally, createServeAtGate({
         clock,
         pools,
@@ -219,6 +225,7 @@
         maxAnswerBytes: options.claims.maxAnswerBytes,
         minSilenceMs: requests.targetSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
+        explainFailure: unservedCalls.explain,
         catchUp: lag.catchUp,
     }));
     const handleGate = createGateHandler({
@@ -282,6 +289,7 @@
             return announcement !== undefined && announcement.address === address ? announcement : undefined;
         },
         maxBodyBytes: requests.maxBodyBytes,
+        noteUnserved: unservedCalls.note,
         countRequest: (end, duration, kind) => {
             metrics.countRequest("gateway", end, duration);
             tallyEnd(tally, "gateway", kind, end, duration);
@@ -297,5 +305,6 @@
         handleGateway,
         giveUpAll: callerSignals.giveUpAll,
         hasSubstitute,
+        knowsOwnTarget: dependencies.callerService === undefined,
     };
 };
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -27,6 +27,7 @@
     PRIORITY_HEADER,
     readRequestHeader,
     selectRequestHeaders,
+    STARVED_HEADER,
 } from "../http/headers.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
 import { formatLoad } from "../http/loadHeader.js";
@@ -167,7 +168,8 @@
             refuse(response, outcome.left, head.requestId);
             return;
         }
-        writeAnswer(response, outcome.right, { ...describe(head.requestId), [VERDICT_HEADER]: "ran" });
+        const starved = outcome.right.isStarved === true ? { [STARVED_HEADER]: "yes" } : {};
+        writeAnswer(response, outcome.right, { ...describe(head.requestId), ...starved, [VERDICT_HEADER]: "ran" });
     };
 
     const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -7,6 +7,7 @@
 import { discardBody, observeBody, type Answer } from "../http/answer.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { TargetDialect, TargetRequest } from "../http/dialect.js";
+import { FIRST_ERROR_STATUS } from "../http/requestEnd.js";
 import { sendWatched } from "../http/watchedExchange.js";
 import type { LocalTarget } from "../target/targetKeeper.js";
 import { createClaimedRun } from "./claimedRun.js";
@@ -25,6 +26,8 @@
     readonly minSilenceMs: Milliseconds;
     /** Longest silence within an answer's body. */
     readonly bodySilenceMs: Milliseconds;
+    /** Whether a run of the own target that just ended in failure did so for want of a call; see `UnservedCalls`. */
+    readonly explainFailure?: (startedAt: Milliseconds) => boolean;
     /** See `LoopLag`. */
     readonly catchUp?: () => Promise<void> | undefined;
 }
@@ -126,6 +129,13 @@
         return readRefusal(dialect, outcome);
     };
 
+    const markStarved = (outcome: Outcome, startedAt: Milliseconds): Outcome => {
+        const isFailed = either.isRight(outcome) && outcome.right.statusCode >= FIRST_ERROR_STATUS;
+        return isFailed && dependencies.explainFailure?.(startedAt) === true ?
+            either.right({ ...outcome.right, isStarved: true }) :
+            outcome;
+    };
+
     const runClaimed = (target: LocalTarget): ServeAtGate =>
         createClaimedRun(dependencies, (request) => sendToTarget(target, request));
 
@@ -154,7 +164,8 @@
             }
         }
         request.onAdmitted();
-        const outcome = await runClaimed(target)(request);
+        const startedAt = clock.monotonic();
+        const outcome = markStarved(await runClaimed(target)(request), startedAt);
         if (either.isLeft(outcome)) {
             admission.right.release(toReleaseOutcome(outcome.left, request.signal));
             return outcome;
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -46,6 +46,8 @@
     /** The service of this node's target, when `address` is its address: such a caller is that service. */
     readonly callerAt: (address: string | undefined) => ServiceReference | undefined;
     readonly maxBodyBytes: number;
+    /** A request at this gateway was not served; it may have been a call of the own target. */
+    readonly noteUnserved: () => void;
     /** `kind` is the name of the route, or empty. */
     readonly countRequest: (end: RequestEnd, duration: Milliseconds, kind: string) => void;
     readonly logFailure: LogFailedRequest;
@@ -83,6 +85,9 @@
         retryAfterMs?: Milliseconds,
         tried: readonly TriedTarget[] = [],
     ): void => {
+        if (failure.kind !== "BadRequest") {
+            dependencies.noteUnserved();
+        }
         const now = clock.monotonic();
         const isLate = failure.kind === "AnswerLost" && now >= passage.deadline - TIMER_TOLERANCE_MS;
         const context = { statusCode: isLate ? HTTP_STATUS.gatewayTimeout : undefined, retryAfterMs };
@@ -128,7 +133,10 @@
             refuse(passage, routed.left.failure, routed.left.retryAfterMs, routed.left.tried);
             return;
         }
-        const { answer, retriedBelow } = routed.right;
+        const { answer, retriedBelow, isStarved } = routed.right;
+        if (isStarved === true) {
+            dependencies.noteUnserved();
+        }
         passage.isRetried = retriedBelow;
         const duration = clock.monotonic() - passage.startedAt;
         dependencies.countRequest({ kind: "Answered", statusCode: answer.statusCode }, duration, caller.kind);
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -26,6 +26,7 @@
     KIND_HEADER,
     OBJECTIVE_HEADER,
     PRIORITY_HEADER,
+    STARVED_HEADER,
 } from "../http/headers.js";
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
@@ -62,6 +63,8 @@
     readonly load: GateLoad | undefined;
     /** A hop below has already retried; nobody above it may. */
     readonly retriedBelow: boolean;
+    /** The target answered with a failure because a call that it made was not served. */
+    readonly isStarved: boolean;
 }
 
 export type SendToGate = (target: TargetMember, attempt: GateAttempt) => Promise<GateOutcome>;
@@ -74,10 +77,11 @@
     const retriedBelow = readAnswerHeader(answer.headers, RETRY_HEADER) === "no";
     const failure = readFailure(answer.headers);
     if (failure === undefined) {
-        return { outcome: either.right(answer), load, retriedBelow };
+        const isStarved = readAnswerHeader(answer.headers, STARVED_HEADER) !== undefined;
+        return { outcome: either.right(answer), load, retriedBelow, isStarved };
     }
     discardBody(answer);
-    return { outcome: either.left(failure), load, retriedBelow };
+    return { outcome: either.left(failure), load, retriedBelow, isStarved: false };
 };
 
 /** A caller that goes away breaks its answer off as well; that is not the target's fault. */
@@ -114,7 +118,8 @@
             signal,
             onAdmitted: () => undefined,
         });
-        return { outcome, load: dependencies.localLoad(), retriedBelow: false };
+        const isStarved = either.isRight(outcome) && outcome.right.isStarved === true;
+        return { outcome, load: dependencies.localLoad(), retriedBelow: false, isStarved };
     };
 
     const headersOf = ({ request, caller, deadline }: GateAttempt) => (requestId: string): string[] => {
@@ -161,7 +166,7 @@
             onSilence: progress.silent,
         });
         return either.isLeft(outcome) ?
-            { outcome, load: undefined, retriedBelow: false } :
+            { outcome, load: undefined, retriedBelow: false, isStarved: false } :
             readGateAnswer(outcome.right);
     };
 
--- a/packages/oleandergap-node/src/http/answer.ts
+++ b/packages/oleandergap-node/src/http/answer.ts
@@ -27,6 +27,8 @@
     readonly statusCode: number;
     readonly headers: AnswerHeaders;
     readonly body: AnswerBody;
+    /** The target failed because a call that it made was not served. */
+    readonly isStarved?: boolean | undefined;
 }
 
 /** The first value of a header, or undefined when the answer does not carry it. */
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -35,6 +35,9 @@
 /** Request between nodes: milliseconds until an answer is worth less, negative when that has passed. */
 export const OBJECTIVE_HEADER = "oleandergap-objective-ms";
 
+/** Answer between nodes: present if the target failed because a call that it made was not served. */
+export const STARVED_HEADER = "oleandergap-starved";
+
 const NO_OPTIONS: readonly string[] = [];
 
 /** Names that a `Connection` header lists are headers of that connection as well. */
--- a/packages/oleandergap-node/src/http/requestEnd.ts
+++ b/packages/oleandergap-node/src/http/requestEnd.ts
@@ -8,7 +8,8 @@
     | { readonly kind: "Answered"; readonly statusCode: number }
     | { readonly kind: "Failed"; readonly failure: RequestFailure };
 
-const FIRST_ERROR_STATUS = 500;
+/** Statuses from here on say that the target failed. */
+export const FIRST_ERROR_STATUS = 500;
 
 /** Whether a target or the system failed to serve the request. */
 export const isFailedEnd = (end: RequestEnd): boolean =>
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -122,6 +122,7 @@
         refuseCallers: () => {
             readiness.refusing = true;
         },
+        knowsOwnTarget: requestPath.knowsOwnTarget,
     }, drainSignal);
     await Promise.all([listeners.gateway.drain(0, drainSignal), listeners.gate.drain(0, drainSignal)]);
     await requestPath.claims.leave(drainSignal);
--- a/packages/oleandergap-node/src/stopStages.ts
+++ b/packages/oleandergap-node/src/stopStages.ts
@@ -21,13 +21,18 @@
     readonly closeGate: () => Promise<unknown>;
     /** From now on callers are refused. */
     readonly refuseCallers: () => void;
+    /**
+     * Whether requests of the own target are known from those of callers, and accepted to the end. If not, callers are
+     * refused only once the gate is empty: refused with them, the calls of what still runs there would fail its runs.
+     */
+    readonly knowsOwnTarget: boolean;
 }
 
 /** Resolves when the last stage is over; sooner when `signal` aborts. */
 export const runStopStages = async (
     clock: Clock,
     { serveMs, serveLongestMs, acceptMs, lingerMs }: NodeOptions["stop"],
-    { hasSubstitute, closeGate, refuseCallers }: StopStages,
+    { hasSubstitute, closeGate, refuseCallers, knowsOwnTarget }: StopStages,
     signal: AbortSignal,
 ): Promise<void> => {
     const startedAt = clock.monotonic();
@@ -47,10 +52,14 @@
         await waitForSubstitute();
         await closeGate();
     };
-    const closeGateway = async (): Promise<void> => {
+    const closeGateway = async (targetClosed: Promise<void>): Promise<void> => {
         await clock.sleep(acceptMs, signal);
+        if (!knowsOwnTarget) {
+            await targetClosed;
+        }
         refuseCallers();
         await clock.sleep(lingerMs, signal);
     };
-    await Promise.all([closeTarget(), closeGateway()]);
+    const targetClosed = closeTarget();
+    await Promise.all([targetClosed, closeGateway(targetClosed)]);
 };
--- a/packages/oleandergap-routing/src/index.ts
+++ b/packages/oleandergap-routing/src/index.ts
@@ -5,4 +5,5 @@
 export { createTargetPicker, type TargetPickerDependencies } from "./targetPicker.js";
 export { createRequestRouter, type RequestRouterDependencies } from "./requestRouter.js";
 export * from "./measure/index.js";
+export { createStarvationThrottle, type StarvationThrottle } from "./starvationThrottle.js";
 export { createOverloadThrottle, type OverloadThrottle } from "./overloadThrottle.js";
--- a/packages/oleandergap-routing/src/options.ts
+++ b/packages/oleandergap-routing/src/options.ts
@@ -55,10 +55,20 @@
 });
 export type RetryOptions = z.infer<typeof retryOptionsSchema>;
 
+/** Which requests a node refuses before it sends them; switched off one by one to measure what each is worth. */
+export const refusalOptionsSchema = z.strictObject({
+    /** Those of services whose targets refuse most of their like. */
+    overload: z.boolean().default(true),
+    /** Those whose runs would fail for want of a call. */
+    starvation: z.boolean().default(true),
+});
+export type RefusalOptions = z.infer<typeof refusalOptionsSchema>;
+
 /** The section `routing` of the daemon's settings. */
 export const routingOptionsSchema = z.strictObject({
     picker: pickerOptionsSchema.prefault({}),
     retry: retryOptionsSchema.prefault({}),
+    refusals: refusalOptionsSchema.prefault({}),
 });
 export type RoutingOptions = z.infer<typeof routingOptionsSchema>;
 
--- /dev/null
+++ b/packages/oleandergap-routing/src/refuseBeforeSending.ts
@@ -0,0 +1,59 @@
+/** Wrappers of a router that refuse requests before they are sent, by what became of earlier ones of their kind. */
+import * as either from "fp-ts/lib/Either.js";
+import type { Either } from "fp-ts/lib/Either.js";
+import { formatServiceReference, type RequestFailure } from "oleandergap-types";
+import { createAttemptHistory } from "./attemptHistory.js";
+import { isShortage } from "./learnOutcome.js";
+import type { OverloadThrottle } from "./overloadThrottle.js";
+import type { RequestRouter, RoutedFailure } from "./requestExecution.js";
+import type { StarvationThrottle } from "./starvationThrottle.js";
+import type { RoutableTarget, TargetPicker } from "./target.js";
+
+/** A refusal that names no time to come back; whoever concludes the request adds it. */
+export const refuse = (reason: "Cancelled" | "DeadlinePassed" | "LimitReached" | "NoTarget" | "Starved"): RequestFailure =>
+    ({ kind: "Refused", verdict: "notRun", reason, retryAfterMs: 0 });
+
+/** Whether a request was refused for want of capacity in the end. */
+const wasShort = (routed: Either<RoutedFailure, unknown>): boolean =>
+    either.isLeft(routed) && routed.left.failure.kind === "Refused" && isShortage(routed.left.failure.reason);
+
+/** Refuses what the throttle does not admit, and tells it what became of the rest. */
+export const throttleRequests = <Target extends RoutableTarget>(
+    throttle: OverloadThrottle,
+    picker: TargetPicker<Target>,
+    execute: RequestRouter<Target>["execute"],
+): RequestRouter<Target>["execute"] => async (execution, attempt) => {
+    const { service, row, kind = "", isReturning = false } = execution;
+    // With weights, each zone's share goes there whatever room it has; only placement by load tells of the service.
+    if (row.placement !== "load") {
+        return execute(execution, attempt);
+    }
+    const throttled = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+    if (!throttle.admits(throttled)) {
+        return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
+    }
+    const routed = await execute(execution, attempt);
+    if (!wasShort(routed)) {
+        throttle.noteAccepted(throttled);
+    }
+    return routed;
+};
+
+/** Refuses what would run for nothing, and learns from the runs of the rest. */
+export const refuseStarving = <Target extends RoutableTarget>(
+    starvation: StarvationThrottle,
+    picker: TargetPicker<Target>,
+    execute: RequestRouter<Target>["execute"],
+): RequestRouter<Target>["execute"] => async (execution, attempt) => {
+    const { service, kind = "", isReturning = false } = execution;
+    // Whoever was failed before for want of a call needs it again: such requests are told apart from first ones.
+    const alike = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+    if (!starvation.admits(alike)) {
+        return either.left(createAttemptHistory().conclude(refuse("Starved"), picker.retryAfter(service)));
+    }
+    const routed = await execute(execution, attempt);
+    if (either.isRight(routed)) {
+        starvation.noteRun(alike, routed.right.isStarved === true);
+    }
+    return routed;
+};
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -41,6 +41,8 @@
     readonly load: GateLoad | undefined;
     /** A hop below has already dealt with retries, as told by the header `oleandergap-retry: no`. */
     readonly retriedBelow: boolean;
+    /** The target answered with a failure because a call that it made was not served. */
+    readonly isStarved?: boolean | undefined;
 }
 
 /** Sends the request to one target. Must keep to the deadline and the signal by itself. */
@@ -55,6 +57,8 @@
     readonly attempts: number;
     /** The answer goes up with `oleandergap-retry: no`. */
     readonly retriedBelow: boolean;
+    /** The target answered with a failure because a call that it made was not served. */
+    readonly isStarved?: boolean;
 }
 
 /** A target that a request was sent to, and why it gave no answer; without a failure it was not heard of yet. */
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -13,8 +13,9 @@
     Routed,
     RoutedFailure,
 } from "./requestExecution.js";
-import { isShortage } from "./learnOutcome.js";
 import type { OverloadThrottle } from "./overloadThrottle.js";
+import { refuse, refuseStarving, throttleRequests } from "./refuseBeforeSending.js";
+import type { StarvationThrottle } from "./starvationThrottle.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { mayRetry } from "./retryDecision.js";
 import type { AttemptOutcome, PickRequest, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
@@ -25,7 +26,9 @@
     readonly picker: TargetPicker<Target>;
     readonly options?: RetryOptions;
     /** Refuses requests of overloaded services placed by load before they are sent; nothing is refused without it. */
-    readonly throttle?: OverloadThrottle;
+    readonly throttle?: OverloadThrottle | undefined;
+    /** Refuses requests whose runs would fail for want of a call; nothing is refused without it. */
+    readonly starvation?: StarvationThrottle | undefined;
 }
 
 const toOutcome = (failure: RequestFailure, waitedMs: Milliseconds, isTimeout: boolean): AttemptOutcome => {
@@ -44,34 +47,18 @@
     }
 };
 
-const refuse = (reason: "Cancelled" | "DeadlinePassed" | "LimitReached" | "NoTarget"): RequestFailure =>
-    ({ kind: "Refused", verdict: "notRun", reason, retryAfterMs: 0 });
-
-/** Whether a request was refused for want of capacity in the end. */
-const wasShort = (routed: Either<RoutedFailure, unknown>): boolean =>
-    either.isLeft(routed) && routed.left.failure.kind === "Refused" && isShortage(routed.left.failure.reason);
-
-/** Refuses what the throttle does not admit, and tells it what became of the rest. */
-const throttleRequests = <Target extends RoutableTarget>(
-    throttle: OverloadThrottle,
-    picker: TargetPicker<Target>,
-    execute: RequestRouter<Target>["execute"],
-): RequestRouter<Target>["execute"] => async (execution, attempt) => {
-    const { service, row, kind = "", isReturning = false } = execution;
-    // With weights, each zone's share goes there whatever room it has; only placement by load tells of the service.
-    if (row.placement !== "load") {
-        return execute(execution, attempt);
-    }
-    const throttled = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
-    if (!throttle.admits(throttled)) {
-        return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
-    }
-    const routed = await execute(execution, attempt);
-    if (!wasShort(routed)) {
-        throttle.noteAccepted(throttled);
-    }
-    return routed;
-};
+const toPickRequest = <Target extends RoutableTarget>(
+    { service, row, targets, idempotent, replayable, kind }: RequestExecution<Target>,
+    history: AttemptHistory,
+): PickRequest<Target> => ({
+    service,
+    row,
+    targets,
+    exclude: history.tried,
+    avoidZone: history.shortZone(),
+    canResend: idempotent && replayable(),
+    kind,
+});
 
 /** Creates the router of one node; each service has a retry budget of its own. */
 export const createRequestRouter = <Target extends RoutableTarget>({
@@ -79,6 +66,7 @@
     picker,
     options = defaultRoutingOptions.retry,
     throttle,
+    starvation,
 }: RequestRouterDependencies<Target>): RequestRouter<Target> => {
     const budgets = new Map<string, RetryBudget>();
 
@@ -99,19 +87,6 @@
         return clock.monotonic() >= deadline ? refuse("DeadlinePassed") : undefined;
     };
 
-    const toPickRequest = (
-        { service, row, targets, idempotent, replayable, kind }: RequestExecution<Target>,
-        history: AttemptHistory,
-    ): PickRequest<Target> => ({
-        service,
-        row,
-        targets,
-        exclude: history.tried,
-        avoidZone: history.shortZone(),
-        canResend: idempotent && replayable(),
-        kind,
-    });
-
     /** An attempt that throws is a fault of this program; the request may be anywhere. */
     const runAttempt = async <Answer>(
         { target, progress }: TargetPick<Target>,
@@ -183,11 +158,16 @@
                 return giveUp(history.lastFailure() ?? refuse("NoTarget"));
             }
             history.addAttempt(pick.target);
-            const { outcome, retriedBelow } = await tryTarget(pick, execution, attempt);
+            const { outcome, retriedBelow, isStarved = false } = await tryTarget(pick, execution, attempt);
             if (either.isRight(outcome)) {
                 budget.deposit(execution.row.limit.retryRatio);
                 const attempts = history.tried.length;
-                return either.right({ answer: outcome.right, attempts, retriedBelow: retriedBelow || attempts > 1 });
+                return either.right({
+                    answer: outcome.right,
+                    attempts,
+                    retriedBelow: retriedBelow || attempts > 1,
+                    ...isStarved ? { isStarved } : {},
+                });
             }
             history.addFailure(pick.target, outcome.left, retriedBelow);
             if (!mayTryAgain(execution, history, outcome.left, budget)) {
@@ -196,5 +176,6 @@
         }
     };
 
-    return { execute: throttle === undefined ? attemptAll : throttleRequests(throttle, picker, attemptAll) };
+    const throttled = throttle === undefined ? attemptAll : throttleRequests(throttle, picker, attemptAll);
+    return { execute: starvation === undefined ? throttled : refuseStarving(starvation, picker, throttled) };
 };
--- a/packages/oleandergap-types/src/verdict.ts
+++ b/packages/oleandergap-types/src/verdict.ts
@@ -39,6 +39,7 @@
 export const refusalReasonSchema = z.enum([
     "UnknownService",
     "NoTarget",
+    "Starved",
     "QueueFull",
     "DeadlineTooShort",
     "DeadlinePassed",
