Routing: what targets shed while slots are free is no overload

Ruled out: to resend more (the budget of repeats counts what targets turn away as well). Change: what a target turns away while targets have room neither counts for the throttle nor sends callers away for a second; they may come back after 50 ms (routing.retry.shedRetryAfterMs). Test: shedding.test.ts (before: hundreds refused at the first node, 1000 ms).

--- a/packages/oleandergap-routing/src/__tests__/routerHarness.ts
+++ b/packages/oleandergap-routing/src/__tests__/routerHarness.ts
@@ -6,6 +6,7 @@
 import {
     createRequestRouter,
     createTargetPicker,
+    defaultRoutingOptions,
     type RequestExecution,
     type RoutableTarget,
     type Routed,
@@ -49,7 +50,7 @@
         clock,
         random: createSeededRandom(1),
     });
-    const router = createRequestRouter({ clock, picker, options: { maximumAttempts: 3, retryReserve } });
+    const router = createRequestRouter({ clock, picker, options: { ...defaultRoutingOptions.retry, retryReserve } });
     const targets = createTargets("hall-a", targetCount);
     const row = createRow({ "hall-a": 1 }, retryRatio);
 
--- /dev/null
+++ b/packages/oleandergap-routing/src/__tests__/shedding.test.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import type { GateLoad, RefusalReason } from "oleandergap-types";
+import { createManualClock, createSeededRandom } from "oleandergap-utils";
+import { createOverloadThrottle, createRequestRouter, createTargetPicker, type RoutableTarget } from "../index.js";
+import { createRow, createTargets, testService } from "./pickerHarness.js";
+import { refused } from "./routerHarness.js";
+
+interface Played {
+    readonly answered: number;
+    /** Refused by targets in the end, and by this node without asking one. */
+    readonly shed: number;
+    readonly refusedHere: number;
+    readonly longestRetryAfterMs: number;
+}
+
+const FREE: GateLoad = { inFlight: 3, queued: 0, capacity: 10, expectedWaitMs: 0 };
+const FULL: GateLoad = { inFlight: 10, queued: 40, capacity: 10, expectedWaitMs: 400 };
+
+/** Sends 2000 requests to targets that each turn away a part of their requests, with a load that gates report. */
+const play = async (shedPart: number, reason: RefusalReason, load: GateLoad): Promise<Played> => {
+    const clock = createManualClock();
+    const random = createSeededRandom(5);
+    const picker = createTargetPicker<RoutableTarget>({ ownZone: "hall-a", clock, random: createSeededRandom(1) });
+    const router = createRequestRouter({
+        clock,
+        picker,
+        throttle: createOverloadThrottle(clock, createSeededRandom(2)),
+    });
+    const targets = createTargets("hall-a", 6);
+    const row = { ...createRow({}, 0.1), placement: "load" as const };
+    const counts = { answered: 0, shed: 0, refusedHere: 0, longestRetryAfterMs: 0 };
+    for (let count = 0; count < 2000; count++) {
+        const result = await router.execute<string>({
+            service: testService,
+            row,
+            targets,
+            idempotent: true,
+            replayable: () => true,
+            deadline: clock.monotonic() + 1000,
+            retriesAllowed: true,
+            signal: new AbortController().signal,
+        }, async () => ({
+            outcome: random() < shedPart ? either.left(refused(reason, 0)) : either.right("answer"),
+            load,
+            retriedBelow: false,
+        }));
+        if (either.isRight(result)) {
+            counts.answered += 1;
+        }
+        else {
+            counts.shed += result.left.tried.length > 0 ? 1 : 0;
+            counts.refusedHere += result.left.tried.length > 0 ? 0 : 1;
+            counts.longestRetryAfterMs = Math.max(counts.longestRetryAfterMs, result.left.retryAfterMs);
+        }
+        await clock.advance(10);
+    }
+    return counts;
+};
+
+describe("targets that shed a part of their requests whatever their load", () => {
+    // Symptom: a third of all requests is refused by the first node (`LimitReached`), and the others are told to
+    //   come back after a second, while half of all slots are free.
+    // Sequence: the targets of a service begin to turn away 55 in 100 requests at once.
+    // Cause: what a target turns away was taken for an overload, and the time to come back for that of an absent target.
+    it("are asked on, and their callers come back soon", async () => {
+        const shed = await play(0.55, "TargetBusy", FREE);
+        expect(shed.refusedHere).to.equal(0);
+        expect(shed.answered).to.be.above(0.45 * 2000);
+        expect(shed.longestRetryAfterMs).to.equal(50);
+    });
+
+    it("are spared when they are full as well", async () => {
+        const full = await play(0.8, "TargetBusy", FULL);
+        expect(full.refusedHere).to.be.above(400);
+        const queueFull = await play(0.8, "QueueFull", FREE);
+        expect(queueFull.refusedHere).to.be.above(400);
+    });
+});
--- a/packages/oleandergap-routing/src/options.ts
+++ b/packages/oleandergap-routing/src/options.ts
@@ -52,6 +52,11 @@
     maximumAttempts: z.number().int().min(1).max(10).default(3),
     /** Retries that a service may spend before its first success, and the size of its reserve. */
     retryReserve: z.number().int().min(0).max(1000).default(10),
+    /**
+     * When to come back after a target turned a request away although targets have free slots, in milliseconds: not
+     * its load is the reason, so the next try may pass, and soon enough to be answered within the usual objectives.
+     */
+    shedRetryAfterMs: z.number().int().min(1).max(60_000).default(50),
 });
 export type RetryOptions = z.infer<typeof retryOptionsSchema>;
 
--- a/packages/oleandergap-routing/src/refuseBeforeSending.ts
+++ b/packages/oleandergap-routing/src/refuseBeforeSending.ts
@@ -5,17 +5,29 @@
 import { createAttemptHistory } from "./attemptHistory.js";
 import { isShortage } from "./learnOutcome.js";
 import type { OverloadThrottle } from "./overloadThrottle.js";
+import { toPickRequest } from "./pickRequest.js";
 import type { RequestRouter, RoutedFailure } from "./requestExecution.js";
 import type { StarvationThrottle } from "./starvationThrottle.js";
 import type { RoutableTarget, TargetPicker } from "./target.js";
 
+/**
+ * Whether a target turned a request away by itself while targets have free slots. That is no overload: some shed a part
+ * of their requests whatever their load. Taken for one, requests would be refused at the first node, and callers sent
+ * away for a second, while most slots are free; one would see `LimitReached` beside idle targets.
+ */
+export const isShed = (failure: RequestFailure, hasRoom: () => boolean): boolean =>
+    failure.kind === "Refused" && failure.reason === "TargetBusy" && hasRoom();
+
 /** A refusal that names no time to come back; whoever concludes the request adds it. */
 export const refuse = (reason: "Cancelled" | "DeadlinePassed" | "LimitReached" | "NoTarget" | "Starved"): RequestFailure =>
     ({ kind: "Refused", verdict: "notRun", reason, retryAfterMs: 0 });
 
-/** Whether a request was refused for want of capacity in the end. */
-const wasShort = (routed: Either<RoutedFailure, unknown>): boolean =>
-    either.isLeft(routed) && routed.left.failure.kind === "Refused" && isShortage(routed.left.failure.reason);
+/** Whether a request was refused for want of capacity in the end; `hasRoom` tells whether targets have free slots. */
+const wasShort = (routed: Either<RoutedFailure, unknown>, hasRoom: () => boolean): boolean =>
+    either.isLeft(routed) &&
+    routed.left.failure.kind === "Refused" &&
+    isShortage(routed.left.failure.reason) &&
+    !isShed(routed.left.failure, hasRoom);
 
 /** Refuses what the throttle does not admit, and tells it what became of the rest. */
 export const throttleRequests = <Target extends RoutableTarget>(
@@ -29,11 +41,12 @@
         return execute(execution, attempt);
     }
     const throttled = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+    const hasRoom = (): boolean => picker.hasRoom(toPickRequest(execution));
     if (!throttle.admits(throttled)) {
         return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
     }
     const routed = await execute(execution, attempt);
-    if (!wasShort(routed)) {
+    if (!wasShort(routed, hasRoom)) {
         throttle.noteAccepted(throttled);
     }
     return routed;
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -14,11 +14,12 @@
     RoutedFailure,
 } from "./requestExecution.js";
 import type { OverloadThrottle } from "./overloadThrottle.js";
-import { refuse, refuseStarving, throttleRequests } from "./refuseBeforeSending.js";
+import { isShed, refuse, refuseStarving, throttleRequests } from "./refuseBeforeSending.js";
 import type { StarvationThrottle } from "./starvationThrottle.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { mayRetry } from "./retryDecision.js";
-import type { AttemptOutcome, PickRequest, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
+import { toPickRequest } from "./pickRequest.js";
+import type { AttemptOutcome, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
 
 /** What a router works with. */
 export interface RequestRouterDependencies<Target extends RoutableTarget> {
@@ -47,19 +48,6 @@
     }
 };
 
-const toPickRequest = <Target extends RoutableTarget>(
-    { service, row, targets, idempotent, replayable, kind }: RequestExecution<Target>,
-    history: AttemptHistory,
-): PickRequest<Target> => ({
-    service,
-    row,
-    targets,
-    exclude: history.tried,
-    avoidZone: history.shortZone(),
-    canResend: idempotent && replayable(),
-    kind,
-});
-
 /** Creates the router of one node; each service has a retry budget of its own. */
 export const createRequestRouter = <Target extends RoutableTarget>({
     clock,
@@ -146,8 +134,11 @@
     ): Promise<Either<RoutedFailure, Routed<Answer>>> => {
         const history = createAttemptHistory();
         const budget = budgetOf(execution);
+        const hasRoom = (): boolean => picker.hasRoom(toPickRequest(execution));
         const giveUp = (failure: RequestFailure): Either<RoutedFailure, Routed<Answer>> =>
-            either.left(history.conclude(failure, picker.retryAfter(execution.service)));
+            either.left(history.conclude(failure, isShed(failure, hasRoom) ?
+                options.shedRetryAfterMs :
+                picker.retryAfter(execution.service)));
         for (;;) {
             const obstacle = findObstacle(execution);
             if (obstacle !== undefined) {
