Routing: a caller that hung up after long tells that its target is slow

Cause: in a burst the node beside one target of settlement falls behind with its events. Calls expire with the requests that made them, so their callers always hang up first, and nothing was learnt from that; what had expired no longer counted as load, and the target looked like the least loaded. Ruled out: to eject it (in an overload of all targets, half of them would go). Change: a wait of twice the usual time or more, ended by the caller, counts as a latency of that length.

--- a/packages/oleandergap-routing/src/__tests__/shedding.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/shedding.test.ts
@@ -60,9 +60,9 @@
 
 describe("targets that shed a part of their requests whatever their load", () => {
     // Symptom: a third of all requests is refused by the first node (`LimitReached`), and the others are told to
-    //   come back after a second, while half of all slots are free.
+    //   come back after a second, while half of the slots are free.
     // Sequence: the targets of a service begin to turn away 55 in 100 requests at once.
-    // Cause: what a target turns away was taken for an overload, and the time to come back for that of an absent target.
+    // Cause: what a target turns away was taken for an overload, and callers were sent away as if none were there.
     it("are asked on, and their callers come back soon", async () => {
         const shed = await play(0.55, "TargetBusy", FREE);
         expect(shed.refusedHere).to.equal(0);
--- a/packages/oleandergap-routing/src/learnOutcome.ts
+++ b/packages/oleandergap-routing/src/learnOutcome.ts
@@ -188,6 +188,24 @@
     }
 };
 
+/**
+ * Takes in how long a caller waited for nothing. Calls expire together with the requests that made them, so that their
+ * callers always hang up first. If nothing were learnt from that, a target beside a process that is short of processor
+ * time would look like the least loaded of all, as what it does not answer leaves it; one would see calls go there and
+ * expire while other targets are idle.
+ */
+const learnWait = <Target extends RoutableTarget>(
+    zone: ZoneState<Target>,
+    state: TargetState<Target>,
+    waitedMs: Milliseconds,
+    { now, kind }: LearnContext,
+): void => {
+    const usualMs = usualLatency(zone, kind);
+    if (usualMs > 0 && waitedMs >= TIMEOUT_FACTOR * usualMs) {
+        addLatency(state, normaliseLatency(zone, kind, waitedMs), now);
+    }
+};
+
 /** Updates what is known of the target and its zone; may eject or readmit the target. */
 export const learnOutcome = <Target extends RoutableTarget>(
     zone: ZoneState<Target>,
@@ -211,6 +229,6 @@
             }
             return;
         case "Abandoned":
-            return;
+            learnWait(zone, state, outcome.waitedMs ?? 0, context);
     }
 };
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -104,7 +104,7 @@
             return result;
         }
         const outcome: AttemptOutcome = execution.signal.aborted ?
-            { kind: "Abandoned" } :
+            { kind: "Abandoned", waitedMs: now - sentAt } :
             toOutcome(result.outcome.left, now - sentAt, now >= execution.deadline);
         pick.report(outcome, result.load);
         return result;
--- a/packages/oleandergap-routing/src/target.ts
+++ b/packages/oleandergap-routing/src/target.ts
@@ -42,8 +42,11 @@
     | { readonly kind: "ConnectFailed" }
     /** The answer did not come or broke off; a timeout says little if the usual service takes longer. */
     | { readonly kind: "AnswerLost"; readonly waitedMs: Milliseconds; readonly isTimeout: boolean }
-    /** The caller hung up, or the request was at fault: nothing is learnt. */
-    | { readonly kind: "Abandoned" };
+    /**
+     * The caller hung up, or the request was at fault: no failure of the target. A caller that hung up after
+     * `waitedMs` shows that the answer would have taken longer.
+     */
+    | { readonly kind: "Abandoned"; readonly waitedMs?: Milliseconds };
 
 /** What an attempt tells of its target besides its outcome. */
 export interface AttemptProgress {
