--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/readiness.test.ts
@@ -0,0 +1,27 @@
+import { expect } from "chai";
+import { createSeededRandom } from "oleandergap-utils";
+import { createReadinessState, findClosure } from "../admin/readiness.js";
+
+describe("findClosure", () => {
+    // Symptom: two seconds after all nodes restarted, half of the requests are late or refused once more.
+    // Sequence: all nodes restart together; each turns callers away for 0.4 s; all of them come back a second later.
+    // Cause: everybody was told the same time.
+    it("spreads those who come back to a node that recovers", () => {
+        const random = createSeededRandom(4);
+        const state = createReadinessState();
+        const times = Array.from({ length: 700 }, () => findClosure(state, false, 200, random)?.retryAfterMs ?? 0);
+        expect(Math.min(...times)).to.be.within(300, 350);
+        expect(Math.max(...times)).to.be.within(950, 1000);
+        const busiest = Math.max(...Array.from({ length: 10 }, (_, slice) =>
+            times.filter((time) => Math.floor(time / 100) === slice).length));
+        expect(busiest).to.be.below(150);
+    });
+
+    it("refuses callers of a node that stops, and not its own target", () => {
+        const state = { ...createReadinessState(), recovered: true, refusing: true };
+        const random = createSeededRandom(4);
+        expect(findClosure(state, false, 200, random)).to.deep.equal({ reason: "Draining", retryAfterMs: 200 });
+        expect(findClosure(state, true, 200, random)).to.equal(undefined);
+        expect(findClosure({ ...state, refusing: false }, false, 200, random)).to.equal(undefined);
+    });
+});
--- a/packages/oleandergap-node/src/admin/readiness.ts
+++ b/packages/oleandergap-node/src/admin/readiness.ts
@@ -1,6 +1,7 @@
 /** Whether a node may be given requests, and if not, why. */
 
 import type { Milliseconds, RefusalReason } from "oleandergap-types";
+import type { Random } from "oleandergap-utils";
 
 /** What has to be true before a node is ready. */
 export interface ReadinessState {
@@ -41,8 +42,13 @@
     readonly retryAfterMs: Milliseconds;
 }
 
-/** Usual time of a recovery. */
-const RECOVERY_RETRY_AFTER_MS = 1000;
+/** Shortest time after which a caller comes back to a node that recovers: the usual time of a recovery is 0.4 s. */
+const RECOVERY_RETRY_AFTER_MS: Milliseconds = 300;
+/**
+ * Time over which these callers are spread. When all nodes restart together, thousands are turned away within half a
+ * second; told the same time, they would come back in one moment, to nodes whose code is not compiled yet.
+ */
+const RECOVERY_RETRY_SPREAD_MS: Milliseconds = 700;
 
 /**
  * Undefined while the node accepts requests. A stopping node still accepts those of its own target, whose requests in
@@ -52,9 +58,10 @@
     state: Readonly<ReadinessState>,
     isOwnTarget: boolean,
     lingerMs: Milliseconds,
+    random: Random,
 ): Closure | undefined => {
     if (!state.recovered) {
-        return { reason: "NotReady", retryAfterMs: RECOVERY_RETRY_AFTER_MS };
+        return { reason: "NotReady", retryAfterMs: RECOVERY_RETRY_AFTER_MS + RECOVERY_RETRY_SPREAD_MS * random() };
     }
     return state.refusing && !isOwnTarget ? { reason: "Draining", retryAfterMs: lingerMs } : undefined;
 };
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -280,6 +280,7 @@
                 dependencies.readiness,
                 callingService !== undefined && dependencies.callerService === undefined,
                 options.stop.lingerMs,
+                random,
             ),
         callerAt: (address) => {
             if (dependencies.callerService !== undefined) {
