--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -187,6 +187,18 @@
     services,
 });
 
+/** The service of the caller at an address, as far as it is known. */
+const createCallerLookup = (
+    { callerService }: RequestPathDependencies,
+    target: TargetKeeper,
+) => (address: string | undefined): ServiceReference | undefined => {
+    if (callerService !== undefined) {
+        return callerService;
+    }
+    const announcement = target.current()?.announcement;
+    return announcement !== undefined && announcement.address === address ? announcement : undefined;
+};
+
 export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
     const { options, clock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
     const { requests } = options;
@@ -282,13 +294,7 @@
                 options.stop.lingerMs,
                 random,
             ),
-        callerAt: (address) => {
-            if (dependencies.callerService !== undefined) {
-                return dependencies.callerService;
-            }
-            const announcement = target.current()?.announcement;
-            return announcement !== undefined && announcement.address === address ? announcement : undefined;
-        },
+        callerAt: createCallerLookup(dependencies, target),
         maxBodyBytes: requests.maxBodyBytes,
         noteUnserved: unservedCalls.note,
         countRequest: (end, duration, kind) => {
