Routing: targets that are cut off go, those that wait for calls stay

Runs everywhere waited for calls into that zone; four slow answers in a row ejected good targets, up to the half that may go. Those that were cut off never failed: whoever waited there left before the connection was given up, and nothing was learnt from that. Ruled out: to eject more than half (a node that is cut off itself would be left with none).

--- a/packages/oleandergap-routing/src/learnOutcome.ts
+++ b/packages/oleandergap-routing/src/learnOutcome.ts
@@ -5,7 +5,7 @@
 import type { PickerOptions } from "./options.js";
 import type { AttemptOutcome, RoutableTarget } from "./target.js";
 import { addLatency, markFailed, type TargetState } from "./targetState.js";
-import { ejectTarget, extendEjection, readmitTarget } from "./zoneCandidates.js";
+import { ejectTarget, extendEjection, isSlowerThanOthers, readmitTarget } from "./zoneCandidates.js";
 import {
     addZoneLatency,
     fadeSpill,
@@ -110,7 +110,8 @@
     }
     const needed = state.circuit.trips > 0 ? MINIMUM_ANSWERS_AFTER_EJECTION : MINIMUM_ANSWERS;
     const isSlow = state.answers >= needed && isTooSlow(zone, state.latencyMs, options);
-    if (isSlow || state.slowInARow >= SLOW_ANSWERS_IN_A_ROW) {
+    const isSlowNow = isSlow || state.slowInARow >= SLOW_ANSWERS_IN_A_ROW;
+    if (isSlowNow && isSlowerThanOthers(zone.candidates, state)) {
         ejectTarget(zone.candidates, state, now, options, random);
     }
 };
@@ -198,11 +199,14 @@
     zone: ZoneState<Target>,
     state: TargetState<Target>,
     waitedMs: Milliseconds,
-    { now, kind }: LearnContext,
+    context: LearnContext,
 ): void => {
+    const { now, kind } = context;
     const usualMs = usualLatency(zone, kind);
     if (usualMs > 0 && waitedMs >= TIMEOUT_FACTOR * usualMs) {
         addLatency(state, normaliseLatency(zone, kind, waitedMs), now);
+        // As with a timeout, three in a row without any answer between them eject.
+        learnFailure(zone, state, context);
     }
 };
 
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -100,7 +100,11 @@
         const result = await runAttempt(pick, execution, attempt);
         const now = clock.monotonic();
         if (either.isRight(result.outcome)) {
-            pick.report({ kind: "Answered", latencyMs: now - sentAt }, result.load);
+            // A run that failed for want of a call took as long as the call, which says nothing of its target.
+            pick.report(
+                result.isStarved === true ? { kind: "Abandoned" } : { kind: "Answered", latencyMs: now - sentAt },
+                result.load,
+            );
             return result;
         }
         const outcome: AttemptOutcome = execution.signal.aborted ?
--- a/packages/oleandergap-routing/src/target.ts
+++ b/packages/oleandergap-routing/src/target.ts
@@ -43,8 +43,8 @@
     /** The answer did not come or broke off; a timeout says little if the usual service takes longer. */
     | { readonly kind: "AnswerLost"; readonly waitedMs: Milliseconds; readonly isTimeout: boolean }
     /**
-     * The caller hung up, or the request was at fault: no failure of the target. A caller that hung up after
-     * `waitedMs` shows that the answer would have taken longer.
+     * The caller hung up, or the request was at fault. A caller that hung up after `waitedMs` shows that the answer
+     * would have taken longer; it counts like a timeout.
      */
     | { readonly kind: "Abandoned"; readonly waitedMs?: Milliseconds };
 
--- a/packages/oleandergap-routing/src/zoneCandidates.ts
+++ b/packages/oleandergap-routing/src/zoneCandidates.ts
@@ -149,6 +149,23 @@
     addEjected(candidates, state);
 };
 
+/** A target is slow for itself only if it is so many times slower than the middle one of the others. */
+const OUTLIER_FACTOR = 2;
+
+/**
+ * Whether a target is slower than the others, and not just slow as they all are. Runs take long at every target when a
+ * service that they call is cut off or overloaded. If that ejected them, half of the good targets would go, and those
+ * that are really cut off could not be ejected any more; one would see requests wait for these beside idle targets.
+ */
+export const isSlowerThanOthers = <Target extends RoutableTarget>(
+    { open }: Candidates<Target>,
+    state: TargetState<Target>,
+): boolean => {
+    const others = open.filter((other) => other !== state && other.answers > 0).map(({ latencyMs }) => latencyMs);
+    const middle = others.sort((left, right) => left - right)[Math.floor(others.length / 2)];
+    return middle === undefined || state.latencyMs > OUTLIER_FACTOR * middle;
+};
+
 /** After a failed probe. */
 export const extendEjection = <Target extends RoutableTarget>(
     candidates: Candidates<Target>,
