Gate: the margin for longer runs takes at most half of what a request can wait

Where nine in ten runs take about as long as the objective, nearly every request counts as late by the margin, and returning callers crowd out those in time. Change: the margin takes at most half of the time between typical run and objective, and counts on arrival only.

--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -75,7 +75,7 @@
 
     const startOne = (waiter: Waiter): void => {
         const now = clock.monotonic();
-        const isInTime = now + forecast.likelyServiceTime(waiter.kind) <= waiter.objective;
+        const isInTime = now + forecast.serviceTime(waiter.kind) <= waiter.objective;
         if (!isInTime && !ranks.isLate(waiter.flow) && queue.size() > 0) {
             ranks.demote(waiter, now);
             return;
--- a/packages/oleandergap-gate/src/lateRequests.ts
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -15,6 +15,13 @@
 /** Part of the target's time that has to be left over before a late request waits for it. */
 const MINIMUM_SPARE = 0.05;
 
+/**
+ * Most of the time between typical run and objective that is kept for longer runs; the rest is left to the queue. Without
+ * a bound nearly all requests of a kind whose runs take about as long as its objective would count as late: with an
+ * objective of 1.6 typical run times and callers that return, 276 of 1200 answers came in time instead of 822.
+ */
+const MAXIMUM_MARGIN = 0.5;
+
 /** The times that a decision depends on; monotonic. */
 export type Timing = Pick<AdmissionRequest, "deadline" | "objective" | "kind" | "priority">;
 
@@ -34,12 +41,20 @@
 export const createLateRequests = ({ forecast, offered, state }: LateRequestsDependencies): LateRequests => {
     const serviceTime = ({ kind = USUAL_KIND }: Timing): Milliseconds => forecast.serviceTime(kind);
 
-    const likelyTime = ({ kind = USUAL_KIND }: Timing): Milliseconds => forecast.likelyServiceTime(kind);
+    /** Time that is kept for a run to take longer than the typical one. */
+    const marginOf = ({ kind = USUAL_KIND }: Timing, slack: Milliseconds): Milliseconds => {
+        const wanted = forecast.likelyServiceTime(kind) - forecast.serviceTime(kind);
+        return Math.min(Math.max(0, wanted), MAXIMUM_MARGIN * Math.max(0, slack));
+    };
 
     return {
-        isLate: (timing, ahead, now) =>
-            timing.objective !== undefined &&
-            now + forecast.wait(state(), ahead, now) + likelyTime(timing) > timing.objective,
+        isLate: (timing, ahead, now) => {
+            if (timing.objective === undefined) {
+                return false;
+            }
+            const slack = timing.objective - now - serviceTime(timing);
+            return forecast.wait(state(), ahead, now) + marginOf(timing, slack) > slack;
+        },
         missingTime: (timing, ahead, now) => {
             const current = state();
             const wait = forecast.wait(current, ahead, now);
