--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -68,7 +68,7 @@
     const refusals = createRefusals({ clock, options, forecast, state });
 
     const offered = createOfferedLoad();
-    const late = createLateRequests({ forecast, offered, state });
+    const late = createLateRequests({ forecast, offered, state, marginPart: options.marginPart });
     const ranks = createRankedQueue({ queue, late, refusals, fairShare: options.fairShare });
 
     const drain = createDrain(() => slots.running() === 0 && queue.size() === 0);
--- a/packages/oleandergap-gate/src/lateRequests.ts
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -15,13 +15,6 @@
 /** Part of the target's time that has to be left over before a late request waits for it. */
 const MINIMUM_SPARE = 0.05;
 
-/**
- * Most of the time between typical run and objective that is kept for longer runs; the rest is left to the queue.
- * Without a bound nearly all requests of a kind whose runs take about as long as its objective would count as late:
- * with an objective of 1.6 typical run times and callers that return, 276 of 1200 answers came in time instead of 952.
- */
-const MAXIMUM_MARGIN = 0.5;
-
 /** The times that a decision depends on; monotonic. */
 export type Timing = Pick<AdmissionRequest, "deadline" | "objective" | "kind" | "priority">;
 
@@ -29,6 +22,8 @@
     readonly forecast: Forecast;
     readonly offered: OfferedLoad;
     readonly state: () => GateState;
+    /** See `GateOptions`. */
+    readonly marginPart: number;
 }
 
 export interface LateRequests {
@@ -38,13 +33,15 @@
     readonly missingTime: (timing: Timing, ahead: number, now: Milliseconds) => Milliseconds;
 }
 
-export const createLateRequests = ({ forecast, offered, state }: LateRequestsDependencies): LateRequests => {
+export const createLateRequests = (
+    { forecast, offered, state, marginPart }: LateRequestsDependencies,
+): LateRequests => {
     const serviceTime = ({ kind = USUAL_KIND }: Timing): Milliseconds => forecast.serviceTime(kind);
 
     /** Time that is kept for a run to take longer than the typical one. */
     const marginOf = ({ kind = USUAL_KIND }: Timing, slack: Milliseconds): Milliseconds => {
         const wanted = forecast.likelyServiceTime(kind) - forecast.serviceTime(kind);
-        return Math.min(Math.max(0, wanted), MAXIMUM_MARGIN * Math.max(0, slack));
+        return Math.min(Math.max(0, wanted), marginPart * Math.max(0, slack));
     };
 
     return {
--- a/packages/oleandergap-node/src/__tests__/options.test.ts
+++ b/packages/oleandergap-node/src/__tests__/options.test.ts
@@ -41,6 +41,9 @@
 
     it("names the path, the value and what is allowed", async () => {
         expect(await describeProblem({ stop: { lingerMs: "soon" } })).to.match(/stop\.lingerMs: found "soon"; .*number/);
+        expect(await describeProblem({ routing: { refusals: { starvation: "maybe" } } }))
+            .to.match(/routing\.refusals\.starvation: found "maybe"; .*boolean/);
+        expect(await describeProblem({ gate: { marginPart: 2 } })).to.match(/gate\.marginPart: found 2; .*1/);
         expect(await describeProblem({ listne: {} })).to.include("the unknown key \"listne\"");
     });
 
