--- a/packages/oleandergap-gate/src/options.ts
+++ b/packages/oleandergap-gate/src/options.ts
@@ -15,9 +15,9 @@
     queueOrder: queueOrderSchema.default("oldestFirst"),
     fairShare: fairShareSchema.default("callers"),
     /**
-     * A request counts as in time if the run would be that nine in ten of its kind keep to. This is the most of the time
-     * between typical run and objective that is kept for that; the rest is left to the queue, 0 switches it off. At 1,
-     * nearly all requests of a kind whose runs take about as long as its objective would count as late: with an
+     * A request counts as in time if the run would be that nine in ten of its kind keep to. This is the most of the
+     * time between typical run and objective that is kept for that; the rest is left to the queue, 0 switches it off.
+     * At 1, nearly all requests of a kind whose runs take about as long as its objective would count as late: with an
      * objective of 1.6 typical run times and callers that return, 276 of 1200 answers came in time instead of 952.
      */
     marginPart: z.number().min(0).max(1).default(0.5),
