Routing: what this node refuses for want of time is no word of the target

Cause: a request that waits for a connection until its time is over is refused by the node that sends it. Any refusal was taken for an answer of the target's node: the circuit of a target in a cut-off zone closed, and it got requests again. Change: without a load told, such a refusal counts like a timeout (unheardTargets.test.ts: 43 requests of 500 went to the target that is not heard before, fewer than 25 now).

--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -1,7 +1,13 @@
 /** Sends a request to a target, and elsewhere again where that is safe, within budget and deadline. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import { formatServiceReference, type Clock, type Milliseconds, type RequestFailure } from "oleandergap-types";
+import {
+    formatServiceReference,
+    type Clock,
+    type GateLoad,
+    type Milliseconds,
+    type RequestFailure,
+} from "oleandergap-types";
 import { describeError } from "oleandergap-utils";
 import { createAttemptHistory, type AttemptHistory } from "./attemptHistory.js";
 import { defaultRoutingOptions, type RetryOptions } from "./options.js";
@@ -32,7 +38,21 @@
     readonly starvation?: StarvationThrottle | undefined;
 }
 
-const toOutcome = (failure: RequestFailure, waitedMs: Milliseconds, isTimeout: boolean): AttemptOutcome => {
+/**
+ * A request whose time is over before it could be sent is refused by this node, not by the target's: no load was told.
+ * Taken for an answer, it would bring a target back that is cut off; one would see requests wait there again and again.
+ */
+const isUnheard = (failure: RequestFailure, load: GateLoad | undefined): boolean =>
+    failure.kind === "Refused" && failure.reason === "DeadlinePassed" && load === undefined;
+
+const toOutcome = (
+    { failure, load }: { readonly failure: RequestFailure; readonly load: GateLoad | undefined },
+    waitedMs: Milliseconds,
+    isTimeout: boolean,
+): AttemptOutcome => {
+    if (isUnheard(failure, load)) {
+        return { kind: "AnswerLost", waitedMs, isTimeout: true };
+    }
     switch (failure.kind) {
         case "Refused":
             return failure.reason === "Cancelled" || failure.reason === "ClaimUnavailable" ?
@@ -109,7 +129,9 @@
         }
         const outcome: AttemptOutcome = execution.signal.aborted ?
             { kind: "Abandoned", waitedMs: now - sentAt } :
-            toOutcome(result.outcome.left, now - sentAt, now >= execution.deadline);
+            toOutcome(
+                { failure: result.outcome.left, load: result.load }, now - sentAt, now >= execution.deadline,
+            );
         pick.report(outcome, result.load);
         return result;
     };
