Routing, node: probes one at a time in every case; connections given up in time

Back-offs are cut short to nothing when a zone is reached again, and a probe gave way to the next one after twice the back-off. Besides, the HTTP library counts its time limit for connections in steps of half a second: given up after 560 to 830 ms, when most callers had left. Change: a probe has at least 500 ms; connections are given up by a timer of our own.

--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/connectTimeout.test.ts
@@ -0,0 +1,46 @@
+import { Socket } from "node:net";
+import { expect } from "chai";
+import { createManualClock } from "oleandergap-utils";
+import type { buildConnector } from "undici";
+import { createWatchedConnector } from "../http/socketEnd.js";
+
+const TIMEOUT_MS = 250;
+const TARGET = { hostname: "127.0.0.1", protocol: "http:", port: "9" };
+
+describe("createWatchedConnector", () => {
+    // Symptom: requests wait for targets in a cut-off zone until their callers leave.
+    // Sequence: an availability zone is cut off; new connections to it get no answer at all.
+    // Cause: the library looks at its time limits every half second, so that 250 ms became 560 and more.
+    it("gives a connection up when its time is over", async () => {
+        const clock = createManualClock();
+        const socket = new Socket();
+        // Fails as the library does: with the error that the socket is destroyed with.
+        const build = (): buildConnector.connector => (_target, callback) => {
+            socket.once("error", (error) => callback(error, null));
+            return socket;
+        };
+        const connect = createWatchedConnector({ clock, timeoutMs: TIMEOUT_MS, build });
+        const failures: string[] = [];
+        connect(TARGET, (...[error]) => {
+            failures.push((error as { code?: string } | null)?.code ?? "");
+        });
+        await clock.advance(TIMEOUT_MS - 1);
+        expect(socket.destroyed).to.equal(false);
+        await clock.advance(1);
+        await new Promise((resolve) => setImmediate(resolve));
+        expect(failures).to.deep.equal(["UND_ERR_CONNECT_TIMEOUT"]);
+    });
+
+    it("leaves a connection alone that opened in time", async () => {
+        const clock = createManualClock();
+        const socket = new Socket();
+        const build = (): buildConnector.connector => (_target, callback) => {
+            clock.after(10, () => callback(null, socket));
+            return socket;
+        };
+        createWatchedConnector({ clock, timeoutMs: TIMEOUT_MS, build })(TARGET, () => undefined);
+        await clock.advance(10 * TIMEOUT_MS);
+        expect(socket.destroyed).to.equal(false);
+        socket.destroy();
+    });
+});
--- a/packages/oleandergap-node/src/http/connectionPools.ts
+++ b/packages/oleandergap-node/src/http/connectionPools.ts
@@ -54,7 +54,7 @@
             keepAliveTimeout: options.idleMs,
             // The other side's hint may shorten the idle time, never lengthen it.
             keepAliveMaxTimeout: options.idleMs,
-            connect: createWatchedConnector({ timeout: options.connectTimeoutMs, noDelay: true, keepAlive: true }),
+            connect: createWatchedConnector({ clock, timeoutMs: options.connectTimeoutMs }),
         });
 
     const retire = (key: string, entry: PoolEntry): void => {
--- a/packages/oleandergap-node/src/http/socketEnd.ts
+++ b/packages/oleandergap-node/src/http/socketEnd.ts
@@ -7,7 +7,8 @@
  * after the connection is made, tells the client's own handling what it is about.
  */
 import { Socket } from "node:net";
-import { buildConnector } from "undici";
+import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
+import { buildConnector, errors } from "undici";
 
 /** `Reset`: with an error. `Finished`: the other side sent its end, as far as the runtime can tell. */
 export type SocketEndKind = "Reset" | "Finished";
@@ -54,17 +55,38 @@
     return socket.errored !== null;
 };
 
-/** Makes connections whose ends are watched. */
-export const createWatchedConnector = (options: buildConnector.BuildOptions): buildConnector.connector => {
+/** What connections are made with. */
+export interface WatchedConnectorOptions {
+    readonly clock: Clock;
+    /** A connection that is not open after this time is given up. */
+    readonly timeoutMs: Milliseconds;
+    readonly build?: typeof buildConnector;
+}
+
+/**
+ * Makes connections whose ends are watched, and gives them up in time. The library's own time limit is counted in
+ * steps of half a second: connections to a zone that was cut off were given up after 560 to 830 ms instead of 250 to
+ * 500, when most callers had left already, so that nothing was sent elsewhere in time.
+ */
+export const createWatchedConnector = (
+    { clock, timeoutMs, build = buildConnector }: WatchedConnectorOptions,
+): buildConnector.connector => {
     // Without the other direction being kept open, a write after the end would tell nothing.
-    const connect = buildConnector({ ...options, allowHalfOpen: true });
+    const connect = build({ timeout: 2 * timeoutMs, noDelay: true, keepAlive: true, allowHalfOpen: true });
     return (target, callback) => {
-        connect(target, (...result) => {
+        let cancelTimer: CancelTimer = () => undefined;
+        const pending: unknown = connect(target, (...result) => {
+            cancelTimer();
             const [, socket] = result;
             if (socket instanceof Socket) {
                 watchSocketEnd(socket);
             }
             callback(...result);
         });
+        if (pending instanceof Socket) {
+            cancelTimer = clock.after(timeoutMs, () => {
+                pending.destroy(new errors.ConnectTimeoutError(`no connection within ${timeoutMs} ms`));
+            });
+        }
     };
 };
--- a/packages/oleandergap-routing/src/circuit.ts
+++ b/packages/oleandergap-routing/src/circuit.ts
@@ -10,6 +10,11 @@
 
 /** A probe that was never reported back is forgotten after this many back-offs. */
 const PROBE_TIMEOUT_FACTOR = 2;
+/**
+ * And not before this time, longer than a usual request takes. After a back-off that was cut short to nothing, every
+ * request would otherwise be a probe; one would see all requests of a node go to a target that is still cut off.
+ */
+const MINIMUM_PROBE_TIMEOUT_MS = 500;
 /** Requests that may not be sent again probe only after so many back-offs more, within the bound below. */
 const UNSAFE_PROBE_FACTOR = 10;
 const MAXIMUM_UNSAFE_DELAY_MS = 30_000;
@@ -65,7 +70,7 @@
 /** Lets one request through. If its outcome never comes, another one may follow later. */
 export const startProbe = (circuit: Circuit, now: Milliseconds): void => {
     circuit.state = "probing";
-    circuit.probeAt = now + PROBE_TIMEOUT_FACTOR * circuit.backoffMs;
+    circuit.probeAt = now + Math.max(MINIMUM_PROBE_TIMEOUT_MS, PROBE_TIMEOUT_FACTOR * circuit.backoffMs);
 };
 
 /** Lets all requests through again; the number of trips stays, so that a relapse is ejected for longer. */
