--- a/packages/oleandergap-routing/src/overloadThrottle.ts
+++ b/packages/oleandergap-routing/src/overloadThrottle.ts
@@ -9,6 +9,7 @@
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
+import { createFadingCounts } from "./fadingCounts.js";
 
 /**
  * Requests sent for each one accepted: while half are accepted nothing is refused here, and once there is room again
@@ -21,13 +22,10 @@
 const MEMORY_MS: Milliseconds = 700;
 /** Requests in the memory below which nothing is refused here. */
 const MINIMUM_REQUESTS = 5;
-/** Kinds that are remembered; the oldest gives way. */
-const MAXIMUM_KINDS = 512;
 
 interface Counts {
     requests: number;
     accepted: number;
-    countedAt: Milliseconds;
 }
 
 /** Counts by kind; requests that are refused alike should share one. */
@@ -40,25 +38,15 @@
 
 /** Knows nothing at first, and then refuses nothing. */
 export const createOverloadThrottle = (clock: Clock, random: Random): OverloadThrottle => {
-    const kinds = new Map<string, Counts>();
-
-    const countsOf = (kind: string): Counts => {
-        const now = clock.monotonic();
-        let counts = kinds.get(kind);
-        if (counts === undefined) {
-            const [oldest] = kinds.keys();
-            if (kinds.size >= MAXIMUM_KINDS && oldest !== undefined) {
-                kinds.delete(oldest);
-            }
-            counts = { requests: 0, accepted: 0, countedAt: now };
-            kinds.set(kind, counts);
-        }
-        const left = Math.exp((counts.countedAt - now) / MEMORY_MS);
-        counts.requests *= left;
-        counts.accepted *= left;
-        counts.countedAt = now;
-        return counts;
-    };
+    const countsOf = createFadingCounts<Counts>({
+        clock,
+        memoryMs: MEMORY_MS,
+        create: () => ({ requests: 0, accepted: 0 }),
+        scale: (counts, factor) => {
+            counts.requests *= factor;
+            counts.accepted *= factor;
+        },
+    });
 
     return {
         admits: (kind) => {
--- a/packages/oleandergap-routing/src/starvationThrottle.ts
+++ b/packages/oleandergap-routing/src/starvationThrottle.ts
@@ -9,6 +9,7 @@
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
+import { createFadingCounts } from "./fadingCounts.js";
 
 /**
  * Part that is sent for each part that ends well: a run that ends well in one of three cases is worth its time, as
@@ -21,13 +22,10 @@
 const MEMORY_MS: Milliseconds = 1000;
 /** Runs in the memory below which nothing is refused. */
 const MINIMUM_RUNS = 5;
-/** Kinds that are remembered; the oldest gives way. */
-const MAXIMUM_KINDS = 512;
 
 interface Runs {
     good: number;
     starved: number;
-    countedAt: Milliseconds;
 }
 
 /** Counts by kind; requests that fail alike should share one. */
@@ -40,40 +38,25 @@
 
 /** Knows nothing at first, and then refuses nothing. */
 export const createStarvationThrottle = (clock: Clock, random: Random): StarvationThrottle => {
-    const kinds = new Map<string, Runs>();
-
-    const fade = (runs: Runs): Runs => {
-        const now = clock.monotonic();
-        const left = Math.exp((runs.countedAt - now) / MEMORY_MS);
-        runs.good *= left;
-        runs.starved *= left;
-        runs.countedAt = now;
-        return runs;
-    };
-
-    const startCounting = (kind: string): Runs => {
-        const [oldest] = kinds.keys();
-        if (kinds.size >= MAXIMUM_KINDS && oldest !== undefined) {
-            kinds.delete(oldest);
-        }
-        const runs = { good: 0, starved: 0, countedAt: clock.monotonic() };
-        kinds.set(kind, runs);
-        return runs;
-    };
+    const runsOf = createFadingCounts<Runs>({
+        clock,
+        memoryMs: MEMORY_MS,
+        create: () => ({ good: 0, starved: 0 }),
+        scale: (runs, factor) => {
+            runs.good *= factor;
+            runs.starved *= factor;
+        },
+    });
 
     return {
         admits: (kind) => {
-            const known = kinds.get(kind);
-            if (known === undefined) {
-                return true;
-            }
-            const { good, starved } = fade(known);
+            const { good, starved } = runsOf(kind);
             const total = good + starved;
             return total < MINIMUM_RUNS ||
                 random() < Math.max(MINIMUM_SENT_PART, (SENT_PER_GOOD * good) / total);
         },
         noteRun: (kind, isStarved) => {
-            const runs = fade(kinds.get(kind) ?? startCounting(kind));
+            const runs = runsOf(kind);
             if (isStarved) {
                 runs.starved += 1;
             }
