Node: callers of a stopping node are refused after the longest time of its gate in any case

If callers go on coming (the platform ignores readiness while more than half of a zone is out), what is let in late would be cut off with the process, an answer of the system in place of one that the target is working on. Change: serveLongestMs is the bound (stopStages.test.ts, whose last case now also plays a gate that empties in time). The names under which both throttles count are made in one place.

--- a/packages/oleandergap-node/src/__tests__/stopStages.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopStages.test.ts
@@ -80,16 +80,17 @@
         const clock = createManualClock();
         const startedAt = clock.monotonic();
         const refusedAt: number[] = [];
-        const stopped = runStopStages(clock, STOP, {
-            hasSubstitute: () => false,
-            closeGate: () => clock.sleep(400, new AbortController().signal),
+        const { signal } = new AbortController();
+        const run = (hasSubstitute: boolean, runsMs: number): Promise<void> => runStopStages(clock, STOP, {
+            hasSubstitute: () => hasSubstitute,
+            closeGate: () => clock.sleep(runsMs, signal),
             refuseCallers: () => refusedAt.push(clock.monotonic() - startedAt),
             knowsOwnTarget: false,
-        }, new AbortController().signal);
-        await clock.advance(3850);
-        expect(refusedAt).to.deep.equal([]);
-        await clock.advance(1000);
-        await stopped;
-        expect(refusedAt).to.deep.equal([3900]);
+        }, signal);
+        // The gate closes at 1500 and is empty at 1700 and 3200; without a substitute it closes at 3500.
+        const all = Promise.all([run(true, 200), run(true, 1700), run(false, 400)]);
+        await clock.advance(8000);
+        await all;
+        expect(refusedAt).to.deep.equal([2300, 3200, 3500]);
     });
 });
--- a/packages/oleandergap-node/src/stopStages.ts
+++ b/packages/oleandergap-node/src/stopStages.ts
@@ -24,6 +24,7 @@
     /**
      * Whether requests of the own target are known from those of callers, and accepted to the end. If not, callers are
      * refused only once the gate is empty: refused with them, the calls of what still runs there would fail its runs.
+     * They are refused after `serveLongestMs` in any case: what is let in later might be cut off with the process.
      */
     readonly knowsOwnTarget: boolean;
 }
@@ -55,7 +56,8 @@
     const closeGateway = async (targetClosed: Promise<void>): Promise<void> => {
         await clock.sleep(acceptMs, signal);
         if (!knowsOwnTarget) {
-            await targetClosed;
+            const left = Math.max(0, serveLongestMs - (clock.monotonic() - startedAt));
+            await Promise.race([targetClosed, clock.sleep(left, signal)]);
         }
         refuseCallers();
         await clock.sleep(lingerMs, signal);
--- a/packages/oleandergap-routing/src/refuseBeforeSending.ts
+++ b/packages/oleandergap-routing/src/refuseBeforeSending.ts
@@ -6,7 +6,7 @@
 import { isShortage } from "./learnOutcome.js";
 import type { OverloadThrottle } from "./overloadThrottle.js";
 import { toPickRequest } from "./pickRequest.js";
-import type { RequestRouter, RoutedFailure } from "./requestExecution.js";
+import type { RequestExecution, RequestRouter, RoutedFailure } from "./requestExecution.js";
 import type { StarvationThrottle } from "./starvationThrottle.js";
 import type { RoutableTarget, TargetPicker } from "./target.js";
 
@@ -29,18 +29,26 @@
     isShortage(routed.left.failure.reason) &&
     !isShed(routed.left.failure, hasRoom);
 
+/**
+ * Requests that fare alike. Those of returning callers fare worse than first ones: they have less time left, and what
+ * failed for want of a call needs it again.
+ */
+const nameAlike = <Target extends RoutableTarget>(
+    { service, kind = "", isReturning = false }: RequestExecution<Target>,
+): string => `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+
 /** Refuses what the throttle does not admit, and tells it what became of the rest. */
 export const throttleRequests = <Target extends RoutableTarget>(
     throttle: OverloadThrottle,
     picker: TargetPicker<Target>,
     execute: RequestRouter<Target>["execute"],
 ): RequestRouter<Target>["execute"] => async (execution, attempt) => {
-    const { service, row, kind = "", isReturning = false } = execution;
+    const { service, row } = execution;
     // With weights, each zone's share goes there whatever room it has; only placement by load tells of the service.
     if (row.placement !== "load") {
         return execute(execution, attempt);
     }
-    const throttled = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+    const throttled = nameAlike(execution);
     const hasRoom = (): boolean => picker.hasRoom(toPickRequest(execution));
     if (!throttle.admits(throttled)) {
         return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
@@ -58,9 +66,8 @@
     picker: TargetPicker<Target>,
     execute: RequestRouter<Target>["execute"],
 ): RequestRouter<Target>["execute"] => async (execution, attempt) => {
-    const { service, kind = "", isReturning = false } = execution;
-    // Whoever was failed before for want of a call needs it again: such requests are told apart from first ones.
-    const alike = `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
+    const { service } = execution;
+    const alike = nameAlike(execution);
     if (!starvation.admits(alike)) {
         return either.left(createAttemptHistory().conclude(refuse("Starved"), picker.retryAfter(service)));
     }
