Distribution: lines that tell how a version came, failed pulls, the platform lost and back

Cause: the logs of the recorded incident cannot tell a full link from a busy processor or from pulls that were put off. Change: each version that comes into force has a line with its way (platform, datagram, steps, document), the peer, the time since the node first heard of it and the time of the check; failed pulls have a bounded line with source, reason and duration; the platform lost and regained have one line each. No decision changed. Test: arrivals.test.ts.

--- /dev/null
+++ b/packages/oleandergap-distribution/src/__tests__/arrivals.test.ts
@@ -0,0 +1,54 @@
+import { expect } from "chai";
+import type { LogContext, Logger } from "oleandergap-logger";
+import { createManualClock } from "oleandergap-utils";
+import { createArrivals } from "../arrivals.js";
+
+interface Line {
+    readonly message: string;
+    readonly context: LogContext;
+}
+
+const createRecordingLogger = (lines: Line[]): Logger => {
+    const write = (message: string, context: LogContext = {}): void => {
+        lines.push({ message, context });
+    };
+    return { debug: write, info: write, warn: write, error: write };
+};
+
+const headOf = (sequence: number) => ({ partner: "halloway", sequence, digest: "00" });
+
+describe("createArrivals", () => {
+    it("says how a version came and how long after the first sign of it", async () => {
+        const lines: Line[] = [];
+        const clock = createManualClock();
+        const arrivals = createArrivals({ clock, logger: createRecordingLogger(lines) });
+        arrivals.noteHeard(headOf(4));
+        await clock.advance(300);
+        arrivals.noteHeard(headOf(4));
+        arrivals.noteHeard(headOf(6));
+        await clock.advance(500);
+        arrivals.offerFrom({ way: "document", peer: "node-2" }, () => arrivals.noteApplied(headOf(4)));
+        arrivals.noteApplied(headOf(6));
+        expect(lines.map(({ context }) => context)).to.deep.equal([
+            { partner: "halloway", sequence: 4, way: "document", peer: "node-2", sinceHeardMs: 800, checkMs: 0 },
+            { partner: "halloway", sequence: 6, way: "local", peer: undefined, sinceHeardMs: 500, checkMs: 0 },
+        ]);
+    });
+
+    it("bounds the lines on failed pulls and counts those left out", async () => {
+        const lines: Line[] = [];
+        const clock = createManualClock();
+        const arrivals = createArrivals({ clock, logger: createRecordingLogger(lines) });
+        const fail = (): void => arrivals.noteFailedPull({
+            partner: "halloway",
+            source: "node-3",
+            reason: "NoAnswer: TimedOut",
+            durationMs: 1_000,
+        });
+        Array.from({ length: 40 }).forEach(fail);
+        expect(lines.length).to.equal(10);
+        await clock.advance(1_000);
+        fail();
+        expect(lines.at(-1)?.context["leftOut"]).to.equal(30);
+    });
+});
--- /dev/null
+++ b/packages/oleandergap-distribution/src/arrivals.ts
@@ -0,0 +1,111 @@
+/**
+ * Says of each version that comes into force how it came to this node and how long that took. A version that is late at
+ * one node can then be explained from its log: by the way that it took, by the pulls that failed before it, or by the
+ * time that it took to check.
+ */
+import type { Logger } from "oleandergap-logger";
+import type { Clock, Head, Milliseconds, PartnerName, Sequence } from "oleandergap-types";
+import { createTokenBucket } from "oleandergap-utils";
+
+/** How a version reached the store: read from the platform, as one step in a datagram, or pulled from a peer. */
+export type ArrivalWay = "platform" | "datagram" | "steps" | "document";
+
+/** Where a version came from. */
+export interface ArrivalOrigin {
+    readonly way: ArrivalWay;
+    /** The peer's id; undefined for the platform. */
+    readonly peer?: string;
+}
+
+/** A pull that brought nothing. */
+export interface FailedPull {
+    readonly partner: PartnerName;
+    /** The peer's id, or `platform`. */
+    readonly source: string;
+    readonly reason: string;
+    readonly durationMs: Milliseconds;
+}
+
+/** What arrivals are recorded with. */
+export interface ArrivalDependencies {
+    readonly clock: Clock;
+    readonly logger: Logger;
+}
+
+/** The record of one node. */
+export interface Arrivals {
+    /** Notes that somebody claims to hold a version that is not in force here. */
+    readonly noteHeard: (head: Head) => void;
+    /** Offers a version to the store; what comes into force meanwhile came from `origin`. */
+    readonly offerFrom: <Result>(origin: ArrivalOrigin, offer: () => Result) => Result;
+    /** Writes the line of a version that has just come into force. */
+    readonly noteApplied: (head: Head) => void;
+    readonly noteFailedPull: (pull: FailedPull) => void;
+}
+
+/** Lines on failed pulls: while nobody answers, a node tries several times a second for as long as that lasts. */
+const FAILURE_LINES_PER_SECOND = 2;
+const FAILURE_LINES_BURST = 10;
+
+/** A version that was heard of, and when first. */
+interface Heard {
+    readonly sequence: Sequence;
+    readonly at: Milliseconds;
+}
+
+/** Versions remembered that were heard of and are not in force. */
+const MAX_HEARD = 32;
+
+/** Creates an empty record. */
+export const createArrivals = ({ clock, logger }: ArrivalDependencies): Arrivals => {
+    const heard = new Map<PartnerName, readonly Heard[]>();
+    const lines = createTokenBucket({
+        clock,
+        ratePerSecond: () => FAILURE_LINES_PER_SECOND,
+        burst: FAILURE_LINES_BURST,
+    });
+    let leftOut = 0;
+    let offer: { readonly origin: ArrivalOrigin; readonly startedAt: Milliseconds } | undefined;
+
+    /** The earliest sign of the version itself or of one that holds it; forgets what is in force now. */
+    const takeHeard = ({ partner, sequence }: Head): Milliseconds | undefined => {
+        const known = heard.get(partner) ?? [];
+        heard.set(partner, known.filter((other) => other.sequence > sequence));
+        return known.find((other) => other.sequence >= sequence)?.at;
+    };
+
+    return {
+        noteHeard: ({ partner, sequence }) => {
+            const known = heard.get(partner) ?? [];
+            if (known.every((other) => other.sequence < sequence)) {
+                heard.set(partner, [...known, { sequence, at: clock.monotonic() }].slice(-MAX_HEARD));
+            }
+        },
+        offerFrom: (origin, run) => {
+            offer = { origin, startedAt: clock.monotonic() };
+            const result = run();
+            offer = undefined;
+            return result;
+        },
+        noteApplied: (head) => {
+            const now = clock.monotonic();
+            const heardAt = takeHeard(head);
+            logger.info("A version is in force.", {
+                partner: head.partner,
+                sequence: head.sequence,
+                way: offer?.origin.way ?? "local",
+                peer: offer?.origin.peer,
+                sinceHeardMs: heardAt === undefined ? 0 : Math.round(now - heardAt),
+                checkMs: offer === undefined ? 0 : Math.round(now - offer.startedAt),
+            });
+        },
+        noteFailedPull: ({ partner, source, reason, durationMs }) => {
+            if (!lines.tryTake()) {
+                leftOut += 1;
+                return;
+            }
+            logger.info("A pull failed.", { partner, source, reason, durationMs: Math.round(durationMs), leftOut });
+            leftOut = 0;
+        },
+    };
+};
--- a/packages/oleandergap-distribution/src/headReceiver.ts
+++ b/packages/oleandergap-distribution/src/headReceiver.ts
@@ -2,6 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Clock, Head, NodeId, PartnerName } from "oleandergap-types";
 import { createTokenBucket } from "oleandergap-utils";
+import type { Arrivals } from "./arrivals.js";
 import type { Claim } from "./claimBook.js";
 import { expandDelta, type CompactDelta } from "./compactDelta.js";
 import type { SpreadOptions } from "./options.js";
@@ -19,6 +20,7 @@
     readonly peerHeads: PeerHeads;
     readonly pusher: Pick<VersionPusher, "accept" | "acknowledge">;
     readonly tell: (claim: Claim) => void;
+    readonly arrivals: Pick<Arrivals, "offerFrom">;
     readonly clock: Clock;
     readonly options: Pick<SpreadOptions, "repliesPerSecond" | "replySpacingMs">;
     readonly counters: SpreadCounters;
@@ -69,6 +71,7 @@
     peerHeads,
     pusher,
     tell,
+    arrivals,
     clock,
     options,
     counters,
@@ -88,12 +91,14 @@
     };
 
     /** Puts the step in force if it extends what is in force here. */
-    const applyStep = (compact: CompactDelta): void => {
+    const applyStep = (from: PeerAddress, compact: CompactDelta): void => {
         const delta = expandDelta(compact, store.document(compact.partner));
         if (delta === undefined) {
             return;
         }
-        const isApplied = either.isRight(store.offerDeltas(compact.partner, [delta]));
+        const offered = arrivals.offerFrom({ way: "datagram", peer: from.id }, () =>
+            store.offerDeltas(compact.partner, [delta]));
+        const isApplied = either.isRight(offered);
         counters.inlineApplied += isApplied ? 1 : 0;
         counters.inlineRefused += isApplied ? 0 : 1;
     };
@@ -103,7 +108,7 @@
         peerHeads.note(from.id, head);
         pusher.accept({ from, head, range: message.range });
         if (message.kind === "Step") {
-            applyStep(message.delta);
+            applyStep(from, message.delta);
         }
         // Does nothing once the step is in force. A step that does not fit, or that was damaged on its way, is
         // refused by
--- a/packages/oleandergap-distribution/src/platformReader.ts
+++ b/packages/oleandergap-distribution/src/platformReader.ts
@@ -70,12 +70,36 @@
     /** When the platform was last heard from, by this node or another. */
     let heardAt: Milliseconds | undefined;
     let failuresInARow = 0;
+    let lostAt = startedAt;
 
     const noteHeard = (at: Milliseconds): void => {
         heardAt = Math.max(heardAt ?? at, at);
     };
     const duty = createReaderDuty({ fleet, peers, clock, options, timeoutMs: pull.timeoutMs, noteHeard });
 
+    /** One line when the platform is lost and one when it is back, whatever the number of reads between. */
+    const noteFailedRead = (failure: { readonly kind: string }, startedReadAt: Milliseconds): void => {
+        if (failuresInARow === 0) {
+            lostAt = startedReadAt;
+            logger.warn("The platform does not answer.", {
+                reason: failure.kind,
+                detail: "detail" in failure ? String(failure.detail) : undefined,
+                durationMs: Math.round(clock.monotonic() - startedReadAt),
+            });
+        }
+        failuresInARow += 1;
+    };
+
+    const noteAnsweredRead = (): void => {
+        if (failuresInARow > 0) {
+            logger.info("The platform answers again.", {
+                failedReads: failuresInARow,
+                lostMs: Math.round(clock.monotonic() - lostAt),
+            });
+        }
+        failuresInARow = 0;
+    };
+
     const readHeads: PlatformReader["readHeads"] = async (signal) => {
         if (!budget.tryTake()) {
             counters.readsPutOff += 1;
@@ -87,11 +111,10 @@
         const outcome = await callWithin((inner) => source.readHeads(partners, inner), bound);
         if (either.isLeft(outcome)) {
             counters.platformFailures += 1;
-            failuresInARow += 1;
-            logger.debug("the platform did not answer", { reason: outcome.left.kind });
+            noteFailedRead(outcome.left, startedReadAt);
             return undefined;
         }
-        failuresInARow = 0;
+        noteAnsweredRead();
         noteHeard(startedReadAt);
         for (const head of outcome.right) {
             tell({ head, source: { kind: "Platform" } });
--- a/packages/oleandergap-distribution/src/spread.ts
+++ b/packages/oleandergap-distribution/src/spread.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Head, Milliseconds, PartnerName } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
+import { createArrivals, type Arrivals } from "./arrivals.js";
 import type { Claim } from "./claimBook.js";
 import { createHeadReceiver, type HeadReceiver } from "./headReceiver.js";
 import type { DistributionOptions } from "./options.js";
@@ -59,6 +60,7 @@
 
 /** The parts of one node's distribution, wired to each other; nothing runs yet. */
 interface SpreadParts {
+    readonly arrivals: Arrivals;
     readonly budget: ReadBudget;
     readonly counters: SpreadCounters;
     readonly createPuller: (partner: PartnerName) => VersionPuller;
@@ -72,7 +74,8 @@
 }
 
 const createSpreadParts = (dependencies: SpreadDependencies): SpreadParts => {
-    const { partners, fleet, clock, options } = dependencies;
+    const { partners, fleet, clock, logger, options } = dependencies;
+    const arrivals = createArrivals({ clock, logger });
     const counters = createCounters();
     const peerHeads = createPeerHeads();
 
@@ -92,13 +95,14 @@
         pull: options.pull,
         counters,
     });
-    const fetchVersion = createVersionFetcher({ ...dependencies, budget, counters });
+    const fetchVersion = createVersionFetcher({ ...dependencies, budget, arrivals, counters });
     const createPuller = (partner: PartnerName): VersionPuller => createVersionPuller({
         ...dependencies,
         partner,
         fetchVersion,
         otherPeers: () => fleet.members().filter((member) => member.id !== fleet.self().id),
         budget,
+        arrivals,
         followsPlatform: reader.isFollowing,
         options: options.pull,
         counters,
@@ -116,6 +120,7 @@
         peerHeads,
         pusher,
         tell,
+        arrivals,
         options: options.spread,
         counters,
     });
@@ -127,7 +132,7 @@
         options: options.pull,
     });
 
-    return { budget, counters, createPuller, pullers, pusher, reader, receiver, tell, compareWithRandomPeer };
+    return { arrivals, budget, counters, createPuller, pullers, pusher, reader, receiver, tell, compareWithRandomPeer };
 };
 
 /** Creates the distribution of one node. */
@@ -136,7 +141,7 @@
     // Each wait listens to the signal for as long as it lasts, so more than the default of ten listeners is no leak.
     setMaxListeners(0, signal);
     const parts = createSpreadParts(dependencies);
-    const { budget, counters, pullers, pusher, reader, receiver, tell } = parts;
+    const { arrivals, budget, counters, pullers, pusher, reader, receiver, tell } = parts;
     const applied: AppliedVersion[] = [];
     const announced = new Map<PartnerName, Head>();
     let isReady = false;
@@ -152,6 +157,7 @@
     const noteApplied = (head: Head): void => {
         applied.push({ partner: head.partner, sequence: head.sequence, appliedAt: clock.now() });
         applied.splice(0, applied.length - MAX_APPLIED_REMEMBERED);
+        arrivals.noteApplied(head);
         pusher.pushToZone(head);
         pushIfAnnounced(head);
     };
--- a/packages/oleandergap-distribution/src/versionFetcher.ts
+++ b/packages/oleandergap-distribution/src/versionFetcher.ts
@@ -2,6 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
 import type { PartnerName } from "oleandergap-types";
+import type { ArrivalOrigin, Arrivals } from "./arrivals.js";
 import { callWithin, type CallBound } from "./boundedCall.js";
 import type { ClaimSource } from "./claimBook.js";
 import type { ConfigurationSourcePort, ConfigurationStorePort, PeerAddress, PeerPort } from "./ports.js";
@@ -21,6 +22,7 @@
     readonly peers: Pick<PeerPort, "deltasSince" | "document">;
     readonly source: Pick<ConfigurationSourcePort, "readDeltas" | "readDocument" | "holdsDocuments">;
     readonly budget: ReadBudget;
+    readonly arrivals: Pick<Arrivals, "offerFrom">;
     readonly counters: SpreadCounters;
 }
 
@@ -41,13 +43,17 @@
 
 /** Creates the function that fetches; it never rejects. */
 export const createVersionFetcher = (
-    { store, peers, source, budget, counters }: VersionFetcherDependencies,
+    { store, peers, source, budget, arrivals, counters }: VersionFetcherDependencies,
 ): FetchVersion => {
     const sequenceOf = (partner: PartnerName): number => store.document(partner).sequence;
 
-    const offer = (partner: PartnerName, apply: () => Either<{ readonly kind: string }, unknown>): FetchResult => {
+    const offer = (
+        partner: PartnerName,
+        origin: ArrivalOrigin,
+        apply: () => Either<{ readonly kind: string }, unknown>,
+    ): FetchResult => {
         const before = sequenceOf(partner);
-        const outcome = apply();
+        const outcome = arrivals.offerFrom(origin, apply);
         if (either.isLeft(outcome)) {
             return refused(outcome.left);
         }
@@ -63,7 +69,7 @@
         const answer = await callWithin((signal) => peers.document(peer, { partner }, signal), bound);
         return either.isLeft(answer) ?
             noAnswer(answer.left) :
-            offer(partner, () => store.offerDocument(answer.right));
+            offer(partner, { way: "document", peer: peer.id }, () => store.offerDocument(answer.right));
     };
 
     const fetchFromPeer = async (partner: PartnerName, peer: PeerAddress, bound: CallBound): Promise<FetchResult> => {
@@ -75,12 +81,13 @@
         const version = answer.right;
         if (version.kind === "Document") {
             counters.documentPulls += 1;
-            return offer(partner, () => store.offerDocument(version.document));
+            return offer(partner, { way: "document", peer: peer.id }, () => store.offerDocument(version.document));
         }
         if (version.deltas.length === 0) {
             return either.left({ kind: "NothingNewer" });
         }
-        const outcome = offer(partner, () => store.offerDeltas(partner, version.deltas));
+        const outcome = offer(partner, { way: "steps", peer: peer.id }, () =>
+            store.offerDeltas(partner, version.deltas));
         const mayFit = either.isRight(outcome) || outcome.left.kind !== "Refused";
         return mayFit ? outcome : fetchPeerDocument(partner, peer, bound);
     };
@@ -102,7 +109,7 @@
         const answer = await callWithin((signal) => source.readDocument(partner, signal), bound);
         return either.isLeft(answer) ?
             noAnswer(answer.left) :
-            offer(partner, () => store.offerDocument(answer.right));
+            offer(partner, { way: "platform" }, () => store.offerDocument(answer.right));
     };
 
     const fetchFromPlatform = async (partner: PartnerName, bound: CallBound): Promise<FetchResult> => {
@@ -119,7 +126,7 @@
         }
         const outcome = answer.right.length === 0 ?
             either.left<FetchFailure, void>({ kind: "Refused", detail: "no deltas" }) :
-            offer(partner, () => store.offerDeltas(partner, answer.right));
+            offer(partner, { way: "platform" }, () => store.offerDeltas(partner, answer.right));
         const mayFit = either.isRight(outcome) || outcome.left.kind !== "Refused";
         return mayFit ? outcome : fetchPlatformDocument(partner, bound);
     };
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -1,8 +1,9 @@
 /** Brings one partner's version forward, one pull at a time, from whoever claims to hold a newer one. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
-import type { CancelTimer, Clock, Head, PartnerName, Sequence } from "oleandergap-types";
+import type { CancelTimer, Clock, Head, Milliseconds, PartnerName, Sequence } from "oleandergap-types";
 import { drawBackoff, pickOne, type Random } from "oleandergap-utils";
+import type { Arrivals } from "./arrivals.js";
 import { createClaimBook, formatClaimSource, type Claim, type ClaimSource } from "./claimBook.js";
 import type { PullOptions } from "./options.js";
 import type { ConfigurationStorePort, PeerAddress } from "./ports.js";
@@ -19,6 +20,7 @@
     /** Peers to try when those who told a head do not deliver it. */
     readonly otherPeers: () => readonly PeerAddress[];
     readonly budget: Pick<ReadBudget, "timeToNext">;
+    readonly arrivals: Pick<Arrivals, "noteHeard" | "noteFailedPull">;
     /** Whether this node hears of new versions from the platform itself at the moment. */
     readonly followsPlatform: () => boolean;
     readonly clock: Clock;
@@ -51,6 +53,9 @@
     readonly claimed: Head | undefined;
 }
 
+const formatFailure = (failure: FetchFailure): string =>
+    "detail" in failure ? `${failure.kind}: ${failure.detail}` : failure.kind;
+
 /** Longest exponent of the back-off; the bound is reached before it. */
 const MAX_BACKOFF_EXPONENT = 16;
 
@@ -64,6 +69,7 @@
     fetchVersion,
     otherPeers,
     budget,
+    arrivals,
     followsPlatform,
     clock,
     random,
@@ -102,14 +108,19 @@
         state = { kind: "Waiting", cancel: startTimer(clock, signal, delay, pullNext) };
     };
 
-    const noteFailure = ({ source, claimed }: PullAttempt, failure: FetchFailure): void => {
+    const noteFailure = ({ source, claimed }: PullAttempt, failure: FetchFailure, startedAt: Milliseconds): void => {
         lastFailed = formatClaimSource(source);
         if (failure.kind === "OverBudget") {
             waitBefore(budget.timeToNext() + drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs));
             return;
         }
         counters.pullFailures += 1;
-        logger.debug("a pull failed", { partner, source: lastFailed, reason: failure.kind });
+        arrivals.noteFailedPull({
+            partner,
+            source: lastFailed,
+            reason: formatFailure(failure),
+            durationMs: clock.monotonic() - startedAt,
+        });
         // A node without any version has nothing to fall back to: set aside, a true head would keep it out for as long.
         if (claimed !== undefined && sequence() > 0 && book.countFailure(claimed)) {
             counters.claimsSetAside += 1;
@@ -127,9 +138,10 @@
     const pullFrom = async (attempt: PullAttempt): Promise<void> => {
         counters.pulls += 1;
         const timeoutMs = attempt.source.kind === "Peer" ? options.timeoutMs : options.platformTimeoutMs;
+        const startedAt = clock.monotonic();
         const outcome = await fetchVersion(partner, attempt.source, { clock, timeoutMs, signal });
         if (either.isLeft(outcome)) {
-            noteFailure(attempt, outcome.left);
+            noteFailure(attempt, outcome.left, startedAt);
             return;
         }
         failuresInARow = 0;
@@ -169,6 +181,7 @@
             if (!store.isWanted(claim.head)) {
                 return;
             }
+            arrivals.noteHeard(claim.head);
             const isNews = book.note(claim);
             const isFromPlatform = claim.source.kind === "Platform";
             const endsWait = state.kind === "Waiting" && isNews && hasNotFailedLast(claim.source);
