Failing tests of the late versions, listed as known to fail

Ruled out: the processor (a check takes 18 ms at most) and the bookkeeping of pulls (no claim set aside).

--- /dev/null
+++ b/admin/runTests.js
@@ -0,0 +1,32 @@
+// Runs the tests. Those that KNOWN-RED.txt lists are passed over and printed: tests of real faults that are still to be
+// mended. Usage: node admin/runTests.js [arguments of mocha]   (needs a finished build)
+// A line of the list: title of the test | cause | open issue | command | seed | what was seen
+import { spawnSync } from "node:child_process";
+import { existsSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+
+const MOST_LINES = 3;
+const FIELDS = 6;
+const listFile = join(import.meta.dirname, "../KNOWN-RED.txt");
+
+const lines = existsSync(listFile) ?
+    readFileSync(listFile, "utf8").split("\n").filter((line) => line.trim() !== "") :
+    [];
+const malformed = lines.filter((line) => line.split(" | ").length !== FIELDS);
+if (lines.length > MOST_LINES || malformed.length > 0) {
+    process.stderr.write(`KNOWN-RED.txt may hold ${MOST_LINES} lines of ${FIELDS} fields, divided by " | ".\n`);
+    process.exit(1);
+}
+
+const escapePattern = (text) => text.replaceAll(/[.*+?^${}()|[\]\\/]/g, "\\$&");
+const titles = lines.map((line) => line.split(" | ")[0].trim());
+const exclusion = titles.length === 0 ?
+    [] :
+    ["--grep", `^(${titles.map(escapePattern).join("|")})$`, "--invert"];
+
+for (const line of lines) {
+    process.stdout.write(`Known to fail, passed over: ${line}\n`);
+}
+const mocha = join(import.meta.dirname, "../node_modules/mocha/bin/mocha.js");
+const { status } = spawnSync(process.execPath, [mocha, ...exclusion, ...process.argv.slice(2)], { stdio: "inherit" });
+process.exitCode = status ?? 1;
--- /dev/null
+++ b/packages/oleandergap-configuration/src/__tests__/largeVersions.test.ts
@@ -0,0 +1,58 @@
+// Symptom: callers of a route that was added long ago are answered 404, and other routes stay as they were; every node
+// is the same, and stays so for all later versions.
+// Sequence: an operator adds some hundred routes to a table of 1,600; the platform accepts and confirms the version; each
+// node reads it, counts its cells and refuses it as too large.
+// Cause: the bound on the size of a table was checked where a version comes into force, after it had been accepted
+// elsewhere by other rules. Evidence: "Refused version 12 of shared is invalid: the table has 20509 cells, and at most
+// 18000 are allowed" for 2,560 routes, and no such line for 1,600.
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import type { Logger } from "oleandergap-logger";
+import type { Cells } from "oleandergap-types";
+import { createConfigurationStore } from "../store/configurationStore.js";
+import { createDocument } from "../version/document.js";
+
+const PARTNER = "halloway";
+
+const silentLogger: Logger = {
+    debug: () => undefined,
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+};
+
+const createRouteCells = (number: number): Cells => {
+    const row = `routes/r-${number}`;
+    return {
+        [`${row}/host`]: `h${number}.example`,
+        [`${row}/prefix`]: `/p${number}/`,
+        [`${row}/kind`]: "safe",
+        [`${row}/maxAttempts`]: 2,
+        [`${row}/timeoutMs`]: 2_500,
+        [`${row}/targetLatencyMs`]: 600,
+        [`${row}/priority`]: 2,
+        [`${row}/services/desk`]: 1,
+    };
+};
+
+const createTableCells = (routes: number): Cells => Object.assign({
+    "zones/east/enabled": 1,
+    "limits/desk/concurrency": 100,
+    "limits/desk/queue": 500,
+    "limits/desk/timeoutMs": 2_500,
+    "limits/desk/retryRatio": 0.1,
+    "services/desk/limit": "desk",
+    "services/desk/placement": "load",
+}, ...Array.from({ length: routes }, (_, number) => createRouteCells(number))) as Cells;
+
+describe("createConfigurationStore with large versions", () => {
+    it("puts an accepted version in force whatever its size", () => {
+        const store = createConfigurationStore({ partners: [PARTNER], logger: silentLogger, deltaHistory: 16 });
+        store.offerDocument(createDocument(PARTNER, 8, createTableCells(1_600)));
+        expect(store.heads()[0]?.sequence).to.equal(8);
+        const outcome = store.offerDocument(createDocument(PARTNER, 12, createTableCells(4_000)));
+        expect(either.isRight(outcome)).to.equal(true);
+        expect(store.heads()[0]?.sequence).to.equal(12);
+        expect(store.view().get(PARTNER)?.routes.size).to.equal(4_000);
+    });
+});
