A long answer ends by silence, and size is checked at acceptance only

Calls to the platform and to peers had one time limit for the whole answer. The bound on a table's size was checked where a version comes into force, after its acceptance elsewhere. Change: watchSilence bounds the silence of an answer, and its total far beyond; used by both clients. checkGrowth stands in planChange alone; a table that is too large may shrink. The in-memory network of the tests gives a frozen peer up after 1 s, as the real client does; before, only the caller's own limit did.

--- a/packages/oleandergap-configuration/src/__tests__/largeVersions.test.ts
+++ b/packages/oleandergap-configuration/src/__tests__/largeVersions.test.ts
@@ -1,7 +1,7 @@
 // Symptom: callers of a route that was added long ago are answered 404, and other routes stay as they were; every node
 // is the same, and stays so for all later versions.
-// Sequence: an operator adds some hundred routes to a table of 1,600; the platform accepts and confirms the version; each
-// node reads it, counts its cells and refuses it as too large.
+// Sequence: an operator adds some hundred routes to a table of 1,600; the platform accepts and confirms the version;
+// each node reads it, counts its cells and refuses it as too large.
 // Cause: the bound on the size of a table was checked where a version comes into force, after it had been accepted
 // elsewhere by other rules. Evidence: "Refused version 12 of shared is invalid: the table has 20509 cells, and at most
 // 18000 are allowed" for 2,560 routes, and no such line for 1,600.
--- /dev/null
+++ b/packages/oleandergap-configuration/src/__tests__/planChange.test.ts
@@ -0,0 +1,32 @@
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import type { PartnerDocument } from "oleandergap-types";
+import { MAX_CELLS_PER_DOCUMENT } from "../change/documentSize.js";
+import { planChange } from "../change/planChange.js";
+import { getTable } from "../table/knownTables.js";
+import { createDocument } from "../version/document.js";
+
+const createZones = (count: number): PartnerDocument =>
+    createDocument("halloway", 1, Object.fromEntries(Array.from({ length: count }, (_, number) =>
+        [`zones/zone-${number}/enabled`, 1])));
+
+const addition = { cell: "zones/one-more/enabled", expected: undefined, proposed: 1 };
+const removal = { cell: "zones/zone-0/enabled", expected: 1, proposed: undefined };
+
+describe("planChange on a large table", () => {
+    it("refuses more cells than a document may hold", () => {
+        const full = createZones(MAX_CELLS_PER_DOCUMENT);
+        expect(either.isRight(getTable(full))).to.equal(true);
+        const count = MAX_CELLS_PER_DOCUMENT + 1;
+        expect(planChange(full, [addition])).to.have.deep.nested.property("left.problems", [
+            { kind: "TooManyCells", count, maximum: MAX_CELLS_PER_DOCUMENT },
+        ]);
+        expect(either.isRight(planChange(full, [addition, removal]))).to.equal(true);
+    });
+
+    it("lets a table that is too large shrink", () => {
+        const tooLarge = createZones(MAX_CELLS_PER_DOCUMENT + 2);
+        expect(either.isRight(planChange(tooLarge, [removal]))).to.equal(true);
+        expect(either.isLeft(planChange(tooLarge, [addition]))).to.equal(true);
+    });
+});
--- a/packages/oleandergap-configuration/src/change/planChange.ts
+++ b/packages/oleandergap-configuration/src/change/planChange.ts
@@ -8,6 +8,7 @@
 import { readCell } from "../version/rowIndex.js";
 import type { CellConflict, ChangeError } from "./changeError.js";
 import type { CellEdit } from "./changeRequest.js";
+import { checkGrowth } from "./documentSize.js";
 
 /** An edit whose expectation is settled; absent values stand for an empty cell. */
 export interface ResolvedEdit {
@@ -72,6 +73,10 @@
         return either.right(undefined);
     }
     const next = createNextVersion(document, changes);
+    const growth = checkGrowth(getRowIndex(document), getRowIndex(next.document));
+    if (growth.length > 0) {
+        return either.left({ kind: "Invalid", base, problems: growth });
+    }
     const table = getNextTable(document, next.document, changes);
     return either.isLeft(table) ?
         either.left({ kind: "Invalid", base, problems: table.left }) :
--- a/packages/oleandergap-configuration/src/table/parseTable.ts
+++ b/packages/oleandergap-configuration/src/table/parseTable.ts
@@ -19,9 +19,6 @@
 import { parseLimitRow, parseServiceRow, parseZoneRow, type RowResult } from "./rows.js";
 import type { TableProblem } from "./tableProblem.js";
 
-/** Most cells of one partner: three times the largest table planned for (600 services, about 6,000 cells). */
-export const MAX_CELLS_PER_DOCUMENT = 18_000;
-
 interface RawRow {
     readonly name: string;
     readonly cells: RowCells;
@@ -86,19 +83,9 @@
     return { rows, problems };
 };
 
-/** Empty when the table is not too large. */
-export const checkSize = ({ cellCount }: RowIndex): readonly TableProblem[] =>
-    cellCount > MAX_CELLS_PER_DOCUMENT ?
-        [{ kind: "TooManyCells", count: cellCount, maximum: MAX_CELLS_PER_DOCUMENT }] :
-        [];
-
 /** All problems at once, so that an operator can mend them in one go. */
 export const parseTable = (document: PartnerDocument): Either<readonly TableProblem[], PartnerTable> => {
     const index = getRowIndex(document);
-    const tooLarge = checkSize(index);
-    if (tooLarge.length > 0) {
-        return either.left(tooLarge);
-    }
     const sheets = collectSheets(index);
     const zones = parseRows<ZoneName>(sheets.zones, parseZoneRow);
     const limits = parseRows<Limit>(sheets.limits, parseLimitRow);
--- a/packages/oleandergap-configuration/src/table/reparseTable.ts
+++ b/packages/oleandergap-configuration/src/table/reparseTable.ts
@@ -12,7 +12,7 @@
 import { LIMITS_SHEET, ROUTES_SHEET, SERVICES_SHEET, splitRowKey, type RowKey } from "../version/cellAddress.js";
 import { getDocumentHead, getRowIndex } from "../version/document.js";
 import type { RowCells, RowIndex } from "../version/rowIndex.js";
-import { checkSize, parseTable } from "./parseTable.js";
+import { parseTable } from "./parseTable.js";
 import { findDoubledRoutes, parseRoute } from "./routes.js";
 import { parseLimitRow, parseServiceRow, type RowReferences, type RowResult } from "./rows.js";
 import type { TableProblem } from "./tableProblem.js";
@@ -126,7 +126,7 @@
     const isLarge = changed.length > MAX_CHANGED_SHARE * index.rows.size;
     // A route that did not change may name a service that has just gone.
     const losesService = [...names.services].some((name) => !index.rows.has(`${SERVICES_SHEET}/${name}`));
-    if (isLarge || names.hasOthers || losesService || checkSize(index).length > 0) {
+    if (isLarge || names.hasOthers || losesService) {
         return parseTable(document);
     }
     const readLimit = createLimitReader(index);
--- a/packages/oleandergap-demo/src/fleet/seedPlatform.ts
+++ b/packages/oleandergap-demo/src/fleet/seedPlatform.ts
@@ -58,6 +58,7 @@
         address: plan.platform.address,
         port: plan.ports.platform,
         timeoutMs: 5000,
+        longestMs: 15_000,
         connections: 2,
         maximumAnswerBytes: 8 * 1024 * 1024,
         clock,
--- a/packages/oleandergap-distribution/src/__tests__/inMemoryNetwork.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryNetwork.ts
@@ -26,6 +26,8 @@
 const SEGMENT_BYTES = 40;
 const SEGMENTS_PER_CALL = 4;
 const SEGMENTS_PER_CONNECTION = 8;
+/** The client gives up a peer that is silent for this time. */
+const SILENCE_LIMIT_MS = 1_000;
 /** A connection is kept open for this time after a call. */
 const IDLE_CONNECTION_MS = 4_000;
 
@@ -37,7 +39,7 @@
         bytes: number | undefined,
         deliver: () => void,
     ) => void;
-    /** Runs `answer` at the peer, or fails at once when there is no way to it; a frozen peer never answers. */
+    /** Runs `answer` at the peer, or fails at once when there is no way to it, and after a silence if the peer is frozen. */
     readonly call: <Answer>(
         from: PeerAddress,
         to: PeerAddress,
@@ -113,7 +115,8 @@
                 return either.left({ kind: "Unreachable", detail: "cut" });
             }
             if (isFrozen(to.id)) {
-                return new Promise(() => undefined);
+                await wait(SILENCE_LIMIT_MS);
+                return either.left({ kind: "Unreachable", detail: "silent" });
             }
             const result = await answer();
             count(to, measure(result) + overhead);
--- a/packages/oleandergap-distribution/src/options.ts
+++ b/packages/oleandergap-distribution/src/options.ts
@@ -21,8 +21,10 @@
 });
 
 const pullOptionsSchema = z.strictObject({
-    /** Time that one pull may take before another peer is tried. */
+    /** Time that a short question to a peer may take. */
     timeoutMs: milliseconds(50, 60_000).default(1_000),
+    /** Time that one pull may take before another peer is tried, if the peer's answer keeps arriving. */
+    longestMs: milliseconds(50, 60_000).default(10_000),
     /** Time that one read of the platform may take. */
     platformTimeoutMs: milliseconds(50, 60_000).default(2_000),
     /** Bound of the random wait after the first failure; doubles with each further one. */
@@ -72,8 +74,10 @@
 });
 
 const peerOptionsSchema = z.strictObject({
-    /** Time that a call to a peer may take in all. */
+    /** Longest silence of a peer: until its answer begins, and between two parts of it. */
     timeoutMs: milliseconds(50, 60_000).default(1_000),
+    /** Longest time for an answer in all; a whole table of 3,000 routes takes 1 s of a link of 1 Mbit/s. */
+    longestMs: milliseconds(50, 60_000).default(10_000),
     /** Largest answer accepted from a peer, after decompression. */
     answerBytes: z.number().int().min(1_024).max(64_000_000).default(4_000_000),
     /** Largest question accepted from a peer. */
--- a/packages/oleandergap-distribution/src/peerClient.ts
+++ b/packages/oleandergap-distribution/src/peerClient.ts
@@ -121,6 +121,7 @@
                         body: typeof init?.body === "string" ? init.body : undefined,
                         answerBytes: options.answerBytes,
                         timeoutMs: options.timeoutMs,
+                        longestMs: options.longestMs,
                         signal: init?.signal ?? new AbortController().signal,
                     }, exchangeDependencies);
                     if (either.isLeft(outcome)) {
--- a/packages/oleandergap-distribution/src/peerTransport.ts
+++ b/packages/oleandergap-distribution/src/peerTransport.ts
@@ -3,11 +3,12 @@
  * browser headers with every request and bounds neither the time nor the size of an answer.
  */
 import { request as startRequest, type Agent, type ClientRequest, type IncomingMessage } from "node:http";
+import { pipeline, Transform } from "node:stream";
 import { createGunzip } from "node:zlib";
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds } from "oleandergap-types";
-import { startTimeLimit } from "oleandergap-utils";
+import { linkSignal, watchSilence, type PassedLimit } from "oleandergap-utils";
 import type { PeerError } from "./peerError.js";
 
 /** One question to a peer, and the bounds on its answer. */
@@ -21,7 +22,10 @@
     readonly body: string | undefined;
     /** Largest answer, in bytes after decompression. */
     readonly answerBytes: number;
+    /** Longest silence: until the answer begins, and between two parts of it. */
     readonly timeoutMs: Milliseconds;
+    /** Longest time in all. */
+    readonly longestMs: Milliseconds;
     readonly signal: AbortSignal;
 }
 
@@ -53,21 +57,32 @@
     return typeof code === "string" ? `${code} ${error.message}` : error.message;
 };
 
-const decodeBody = (response: IncomingMessage): NodeJS.ReadableStream => {
-    if (response.headers["content-encoding"] !== "gzip") {
-        return response;
-    }
-    const gunzip = createGunzip();
-    // A connection that breaks off must end the decompression as well, or the exchange would hang until its timeout.
-    response.once("error", (error) => gunzip.destroy(error));
-    response.once("aborted", () => gunzip.destroy(new Error("the answer broke off")));
-    return response.pipe(gunzip);
+/** Passes on what it is given, and tells of each part. */
+const createProgressMeter = (noteProgress: () => void): Transform => new Transform({
+    transform: (part: Buffer, _encoding, pass) => {
+        noteProgress();
+        pass(undefined, part);
+    },
+});
+
+/** Whoever reads the result meets the error of a connection that breaks off, or the exchange would hang. */
+const decodeBody = (response: IncomingMessage, noteProgress: () => void): NodeJS.ReadableStream => {
+    const meter = createProgressMeter(noteProgress);
+    const ignore = (): void => undefined;
+    return response.headers["content-encoding"] === "gzip" ?
+        pipeline(response, meter, createGunzip(), ignore) :
+        pipeline(response, meter, ignore);
 };
 
-const readAnswer = async (response: IncomingMessage, limitBytes: number): Promise<ExchangeResult> => {
+const readAnswer = async (
+    response: IncomingMessage,
+    limitBytes: number,
+    noteProgress: () => void,
+): Promise<ExchangeResult> => {
+    noteProgress();
     const chunks: Buffer[] = [];
     let size = 0;
-    for await (const chunk of decodeBody(response) as AsyncIterable<Buffer>) {
+    for await (const chunk of decodeBody(response, noteProgress) as AsyncIterable<Buffer>) {
         size += chunk.length;
         if (size > limitBytes) {
             response.destroy();
@@ -91,6 +106,7 @@
     exchange: PeerExchange,
     agent: Agent,
     signal: AbortSignal,
+    noteProgress: () => void,
 ): { readonly request: ClientRequest; readonly result: Promise<ExchangeResult> } => {
     const { address, port, path, body, answerBytes } = exchange;
     const headers = createHeaders(exchange);
@@ -101,7 +117,7 @@
         };
         request.once("error", fail);
         request.once("response", (response) => {
-            readAnswer(response, answerBytes).then(resolve, fail);
+            readAnswer(response, answerBytes, noteProgress).then(resolve, fail);
         });
     });
     request.end(body);
@@ -122,6 +138,9 @@
     return () => before;
 };
 
+const formatPassed = (passed: PassedLimit, { timeoutMs, longestMs }: PeerExchange): string =>
+    passed === "silence" ? `silent for ${timeoutMs} ms` : `no whole answer within ${longestMs} ms`;
+
 /**
  * Sends one question and reads the whole answer. A connection that went silent is closed at the timeout, so the next
  * exchange with that peer opens a new one.
@@ -133,17 +152,24 @@
     if (exchange.signal.aborted) {
         return either.left({ kind: "Cancelled" });
     }
-    const limit = startTimeLimit(clock, exchange.timeoutMs, exchange.signal);
-    const { request, result } = sendQuestion(exchange, agent, limit.signal);
+    const { timeoutMs, longestMs } = exchange;
+    const limit = linkSignal(exchange.signal);
+    let passed: PassedLimit | undefined;
+    const watch = watchSilence({ clock, timeoutMs, longestMs }, (which) => {
+        passed = which;
+        limit.abort();
+    });
+    const { request, result } = sendQuestion(exchange, agent, limit.signal, watch.noteProgress);
     const bytesBefore = watchBytesBefore(request);
     const outcome = await result;
-    limit.cancel();
+    watch.cancel();
+    limit.release();
     countBytes(measureBytes(request, bytesBefore()));
     if (either.isLeft(outcome) && exchange.signal.aborted) {
         return either.left({ kind: "Cancelled" });
     }
-    if (either.isLeft(outcome) && limit.hasPassed()) {
-        return either.left({ kind: "Unreachable", detail: `no whole answer within ${exchange.timeoutMs} ms` });
+    if (either.isLeft(outcome) && passed !== undefined) {
+        return either.left({ kind: "Unreachable", detail: formatPassed(passed, exchange) });
     }
     return outcome;
 };
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -137,7 +137,7 @@
 
     const pullFrom = async (attempt: PullAttempt): Promise<void> => {
         counters.pulls += 1;
-        const timeoutMs = attempt.source.kind === "Peer" ? options.timeoutMs : options.platformTimeoutMs;
+        const timeoutMs = attempt.source.kind === "Peer" ? options.longestMs : options.platformTimeoutMs;
         const startedAt = clock.monotonic();
         const outcome = await fetchVersion(partner, attempt.source, { clock, timeoutMs, signal });
         if (either.isLeft(outcome)) {
--- a/packages/oleandergap-platform/src/exchange.ts
+++ b/packages/oleandergap-platform/src/exchange.ts
@@ -3,7 +3,7 @@
  * result says whether any byte may have reached the platform; what that means for the caller is decided elsewhere.
  */
 import { setMaxListeners } from "node:events";
-import type { Clock, Milliseconds } from "oleandergap-types";
+import { watchSilence, type SilenceLimits } from "oleandergap-utils";
 import type { Dispatcher } from "undici";
 
 export type HttpMethod = "GET" | "POST" | "PUT";
@@ -25,9 +25,7 @@
     | { readonly kind: "Lost"; readonly detail: string; readonly isSilent: boolean };
 
 /** Bounds in time and size. */
-export interface ExchangeLimits {
-    readonly clock: Clock;
-    readonly timeoutMs: Milliseconds;
+export interface ExchangeLimits extends SilenceLimits {
     readonly maximumAnswerBytes: number;
 }
 
@@ -56,6 +54,8 @@
     /** Known once the request is written to a connection. */
     controller: Dispatcher.DispatchController | undefined;
     isEnded: boolean;
+    /** Notes that some of the answer has come. */
+    readonly noteProgress: () => void;
     readonly end: (result: ExchangeResult) => void;
 }
 
@@ -87,12 +87,14 @@
             exchange.controller = controller;
         },
         onResponseStart: (_controller, statusCode, headers) => {
+            exchange.noteProgress();
             status = statusCode;
             if (status === STATUS_OK && !hasKnownEnd(headers)) {
                 giveUp(exchange, "the answer does not say where it ends");
             }
         },
         onResponseData: (_controller, chunk) => {
+            exchange.noteProgress();
             received += chunk.length;
             if (received > maximumAnswerBytes) {
                 giveUp(exchange, `the answer is longer than ${maximumAnswerBytes} bytes`);
@@ -110,22 +112,27 @@
 };
 
 const startExchange = (
-    { clock, timeoutMs }: ExchangeLimits,
+    limits: ExchangeLimits,
     signal: AbortSignal,
     resolve: (result: ExchangeResult) => void,
 ): RunningExchange => {
     const giveUpOnAbort = (): void => {
         giveUp(exchange, "the call was cancelled");
     };
-    const cancelTimer = clock.after(timeoutMs, () => {
-        giveUp(exchange, `no answer within ${timeoutMs} ms`, true);
+    const watch = watchSilence(limits, (passed) => {
+        if (passed === "silence") {
+            giveUp(exchange, `no answer within ${limits.timeoutMs} ms`, true);
+            return;
+        }
+        giveUp(exchange, `the answer did not end within ${limits.longestMs} ms`);
     });
     const exchange: RunningExchange = {
         controller: undefined,
         isEnded: false,
+        noteProgress: watch.noteProgress,
         end: (result) => {
             exchange.isEnded = true;
-            cancelTimer();
+            watch.cancel();
             signal.removeEventListener("abort", giveUpOnAbort);
             resolve(result);
         },
--- a/packages/oleandergap-utils/src/index.ts
+++ b/packages/oleandergap-utils/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./manualClock.js";
 export * from "./random.js";
 export * from "./rendezvousHash.js";
+export * from "./silenceWatch.js";
 export * from "./sleep.js";
 export * from "./timeLimit.js";
 export * from "./tokenBucket.js";
