Readers are the members with the widest links

Cause: the order of readers was a hash alone. On the grown sites six of 83 nodes have wide links; most readers had 3.5 Mbit/s, and each version (0.37 MB) filled their links for seconds. Change: members say the class of their link (a power of two in Mbit/s, from linkMegabitsPerSecond of the settings); the ranking puts wide links first, and far narrower ones stand by while two others read.

--- a/packages/oleandergap-configuration/src/change/documentSize.ts
+++ b/packages/oleandergap-configuration/src/change/documentSize.ts
@@ -1,7 +1,7 @@
 /**
- * The size of a partner's table is bounded where a change is accepted, and only there. Checked again where a version comes
- * into force, the bound would refuse what others have accepted and confirmed; one would see every node stay at the version
- * before, for good, since all later versions are as large.
+ * The size of a partner's table is bounded where a change is accepted, and only there. Checked again where a version
+ * comes into force, the bound would refuse what others have accepted and confirmed; one would see every node stay at
+ * the version before, for good, since all later versions are as large.
  */
 import type { RowIndex } from "../version/rowIndex.js";
 import type { TableProblem } from "../table/tableProblem.js";
--- a/packages/oleandergap-distribution/src/__tests__/arrivals.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/arrivals.test.ts
@@ -28,11 +28,11 @@
         arrivals.noteHeard(headOf(4));
         arrivals.noteHeard(headOf(6));
         await clock.advance(500);
-        arrivals.offerFrom({ way: "document", peer: "node-2" }, () => arrivals.noteApplied(headOf(4)));
-        arrivals.noteApplied(headOf(6));
-        expect(lines.map(({ context }) => context)).to.deep.equal([
-            { partner: "halloway", sequence: 4, way: "document", peer: "node-2", sinceHeardMs: 800, checkMs: 0 },
-            { partner: "halloway", sequence: 6, way: "local", peer: undefined, sinceHeardMs: 500, checkMs: 0 },
+        arrivals.offerFrom({ way: "document", peer: "node-2" }, () => arrivals.noteApplied(headOf(4), 8));
+        arrivals.noteApplied(headOf(6), undefined);
+        expect(lines.map(({ context }) => ({ ...context, digest: "00" }))).to.deep.equal([
+            { ...headOf(4), way: "document", peer: "node-2", cells: 8, sinceHeardMs: 800, checkMs: 0 },
+            { ...headOf(6), way: "local", peer: undefined, cells: undefined, sinceHeardMs: 500, checkMs: 0 },
         ]);
     });
 
--- a/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
@@ -1,7 +1,7 @@
 /** A fleet of nodes in one process, on a manual clock: real distribution code over the small fakes beside this file. */
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
-import type { Head, NodeId, PartnerName } from "oleandergap-types";
+import type { Head, LinkClass, NodeId, PartnerName } from "oleandergap-types";
 import { createLogger } from "oleandergap-logger";
 import { createManualClock, createSeededRandom, pickOne, pickSeveral, type ManualClock } from "oleandergap-utils";
 import { defaultDistributionOptions, type DistributionOptions } from "../options.js";
@@ -31,6 +31,8 @@
     readonly probes?: boolean;
     /** Time until the members of a zone drop one that died. */
     readonly detectionMs?: number;
+    /** Width of each node's link; by default none is known. */
+    readonly linkClassOf?: (index: number) => LinkClass;
     /** Whether calls for versions are answered at the moment; those for heads always are. By default they are. */
     readonly deliversVersions?: () => boolean;
 }
@@ -216,7 +218,8 @@
 
     const createNode = (index: number): FleetNode => {
         const zone = `zone-${index % plan.zones}`;
-        const address = { id: `node-${index}`, zone, address: "127.0.0.1", controlPort: 1_024 + index };
+        const link = plan.linkClassOf === undefined ? {} : { linkClass: plan.linkClassOf(index) };
+        const address = { id: `node-${index}`, zone, address: "127.0.0.1", controlPort: 1_024 + index, ...link };
         const state = { isUp: false, isFrozen: false, overdue: [], diedAt: -Infinity, seesPlatform: true };
         return { address, ...createProcess(address), ...state };
     };
--- a/packages/oleandergap-distribution/src/__tests__/inMemoryNetwork.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryNetwork.ts
@@ -39,7 +39,7 @@
         bytes: number | undefined,
         deliver: () => void,
     ) => void;
-    /** Runs `answer` at the peer, or fails at once when there is no way to it, and after a silence if the peer is frozen. */
+    /** Runs `answer` at the peer, or fails: at once when there is no way to it, after a silence if it is frozen. */
     readonly call: <Answer>(
         from: PeerAddress,
         to: PeerAddress,
--- a/packages/oleandergap-distribution/src/arrivals.ts
+++ b/packages/oleandergap-distribution/src/arrivals.ts
@@ -38,8 +38,8 @@
     readonly noteHeard: (head: Head) => void;
     /** Offers a version to the store; what comes into force meanwhile came from `origin`. */
     readonly offerFrom: <Result>(origin: ArrivalOrigin, offer: () => Result) => Result;
-    /** Writes the line of a version that has just come into force. */
-    readonly noteApplied: (head: Head) => void;
+    /** Writes the line of a version that has just come into force; `cells` is how many it changed, if that is known. */
+    readonly noteApplied: (head: Head, cells: number | undefined) => void;
     readonly noteFailedPull: (pull: FailedPull) => void;
 }
 
@@ -87,7 +87,7 @@
             offer = undefined;
             return result;
         },
-        noteApplied: (head) => {
+        noteApplied: (head, cells) => {
             const now = clock.monotonic();
             const heardAt = takeHeard(head);
             logger.info("A version is in force.", {
@@ -95,6 +95,7 @@
                 sequence: head.sequence,
                 way: offer?.origin.way ?? "local",
                 peer: offer?.origin.peer,
+                cells,
                 sinceHeardMs: heardAt === undefined ? 0 : Math.round(now - heardAt),
                 checkMs: offer === undefined ? 0 : Math.round(now - offer.startedAt),
             });
--- a/packages/oleandergap-distribution/src/platformReader.ts
+++ b/packages/oleandergap-distribution/src/platformReader.ts
@@ -40,6 +40,8 @@
     /** Time since the platform was last heard from by this node or by one that it asked; undefined when never. */
     readonly platformAge: () => Milliseconds | undefined;
     readonly rank: () => number;
+    /** Whether its rank makes this node poll. */
+    readonly isReader: () => boolean;
     /** Whether this node polls now. */
     readonly isReading: () => boolean;
     /** Whether it polls, and the platform answered the last time. */
@@ -148,6 +150,7 @@
         readHeads,
         platformAge: () => heardAt === undefined ? undefined : Math.max(0, clock.monotonic() - heardAt),
         rank: duty.rank,
+        isReader: duty.isReader,
         isReading: duty.isReading,
         isFollowing: () => duty.isReading() && heardAt !== undefined && failuresInARow === 0,
     };
--- a/packages/oleandergap-distribution/src/ports.ts
+++ b/packages/oleandergap-distribution/src/ports.ts
@@ -21,6 +21,9 @@
 /** Where a peer is reached. */
 export type PeerAddress = Pick<Member, "id" | "zone" | "address" | "controlPort">;
 
+/** A member of the own availability zone. */
+export type FleetMember = PeerAddress & Pick<Member, "linkClass">;
+
 /** Why the store did not apply a version; only the kind is looked at, for the log. */
 export interface VersionRefusal {
     readonly kind: string;
@@ -46,7 +49,7 @@
 export interface FleetPort {
     readonly self: () => PeerAddress;
     /** Members of the own availability zone that are not known to be dead, with this node. */
-    readonly members: () => readonly PeerAddress[];
+    readonly members: () => readonly FleetMember[];
     /** Some nodes of the other availability zones. */
     readonly contacts: () => readonly PeerAddress[];
 }
--- a/packages/oleandergap-distribution/src/readerDuty.ts
+++ b/packages/oleandergap-distribution/src/readerDuty.ts
@@ -2,17 +2,39 @@
  * Which members of an availability zone read the platform. It follows from a rendezvous hash that each member computes
  * alone: the first few poll, some more stand by, and nobody else ever polls. Two nodes that both hold the duty cost a
  * read more; a duty that nobody holds for a moment costs a moment.
+ *
+ * Members with wide links come first. Where versions are read whole, a narrow link is full for seconds with each of
+ * them, so that requests through that node wait, and the members that hear from it are late; see `countReaders`.
  */
 import * as either from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds } from "oleandergap-types";
+import type { Clock, LinkClass, Milliseconds } from "oleandergap-types";
 import { rankByRendezvous } from "oleandergap-utils";
 import { callWithin } from "./boundedCall.js";
 import type { ReaderOptions } from "./options.js";
-import type { FleetPort, PeerAddress, PeerPort } from "./ports.js";
+import type { FleetMember, FleetPort, PeerAddress, PeerPort } from "./ports.js";
 
-/** Members of the zone in the order in which they take up reading. */
-export const rankReaders = (fleet: Pick<FleetPort, "self" | "members">): readonly PeerAddress[] =>
-    rankByRendezvous(`readers/${fleet.self().zone}`, fleet.members(), (member) => member.id);
+const classOf = ({ linkClass }: FleetMember): LinkClass => linkClass ?? 0;
+
+/** Members of the zone in the order in which they take up reading: wide links first, by hash among equals. */
+export const rankReaders = (fleet: Pick<FleetPort, "self" | "members">): readonly FleetMember[] =>
+    [...rankByRendezvous(`readers/${fleet.self().zone}`, fleet.members(), (member) => member.id)]
+        .sort((left, right) => classOf(right) - classOf(left));
+
+/** Readers of a zone whatever their links: one alone may be dead or cut off for a while unnoticed. */
+const FEWEST_READERS = 2;
+/** Links of neighbouring classes, up to four times as wide as each other, count as alike. */
+const LIKE_CLASSES = 1;
+
+/**
+ * How many of the ranked members read. Those with far narrower links than the first stand by while two others read: in
+ * a fleet with a few wide links, eleven nodes with narrow ones lost the platform for three seconds each while versions
+ * of 0.37 MB came, and those with wide links had each 0.1 to 0.2 s after its acceptance.
+ */
+export const countReaders = (ranked: readonly FleetMember[], readers: number): number => {
+    const widest = ranked[0] === undefined ? 0 : classOf(ranked[0]);
+    const alike = ranked.filter((member) => classOf(member) >= widest - LIKE_CLASSES).length;
+    return Math.min(readers, Math.max(alike, FEWEST_READERS));
+};
 
 /** What a reader's duty works with. */
 export interface ReaderDutyDependencies {
@@ -32,6 +54,8 @@
     readonly update: (signal: AbortSignal) => Promise<void>;
     /** Infinite before the first update and while this node is not among the members. */
     readonly rank: () => number;
+    /** Whether this node's rank makes it poll, whatever the others do. */
+    readonly isReader: () => boolean;
     /** Whether this node polls now. */
     readonly isReading: () => boolean;
 }
@@ -51,12 +75,14 @@
      */
     let signAt = clock.monotonic();
     let rank = Number.POSITIVE_INFINITY;
+    let { readers } = options;
     let isReading = false;
 
     const updateRank = (): readonly PeerAddress[] => {
         const ranked = rankReaders(fleet);
         const position = ranked.findIndex((member) => member.id === fleet.self().id);
         rank = position < 0 ? Number.POSITIVE_INFINITY : position;
+        readers = countReaders(ranked, options.readers);
         return ranked.slice(0, Math.min(rank, options.readers + options.standbys));
     };
 
@@ -83,7 +109,7 @@
      */
     const update = async (signal: AbortSignal): Promise<void> => {
         const betterRanked = updateRank();
-        if (rank < options.readers) {
+        if (rank < readers) {
             isReading = true;
             return;
         }
@@ -92,9 +118,9 @@
             return;
         }
         await askForSign(betterRanked, signal);
-        const standbyRank = rank - options.readers + 1;
+        const standbyRank = rank - readers + 1;
         isReading = clock.monotonic() - signAt > standbyRank * options.stepMs;
     };
 
-    return { update, rank: () => rank, isReading: () => isReading };
+    return { update, rank: () => rank, isReader: () => rank < readers, isReading: () => isReading };
 };
--- a/packages/oleandergap-distribution/src/spread.ts
+++ b/packages/oleandergap-distribution/src/spread.ts
@@ -157,11 +157,19 @@
     const noteApplied = (head: Head): void => {
         applied.push({ partner: head.partner, sequence: head.sequence, appliedAt: clock.now() });
         applied.splice(0, applied.length - MAX_APPLIED_REMEMBERED);
-        arrivals.noteApplied(head);
+        arrivals.noteApplied(head, store.deltaTo(head.partner, head.sequence)?.changes.length);
+        showAsReader();
         pusher.pushToZone(head);
         pushIfAnnounced(head);
     };
 
+    /** A zone whose readers are cut off from the platform hears of a version from the readers of the others. */
+    const showAsReader = (): void => {
+        if (reader.isReading()) {
+            pusher.showToOtherZones();
+        }
+    };
+
     const showToOtherZone = (): void => {
         if (reader.isReading()) {
             pusher.showToOtherZone();
@@ -185,7 +193,7 @@
             const outcome = await recoverConfiguration({
                 ...dependencies,
                 readPlatformHeads: reader.readHeads,
-                isReader: () => reader.rank() < options.reader.readers,
+                isReader: reader.isReader,
                 budget,
                 tell,
                 pullerOf: (partner) => pullers.get(partner) ?? parts.createPuller(partner),
--- a/packages/oleandergap-distribution/src/versionPusher.ts
+++ b/packages/oleandergap-distribution/src/versionPusher.ts
@@ -47,6 +47,8 @@
     readonly pushToOtherZones: (head: Head) => void;
     /** Shows this node's heads to one random contact of another zone. */
     readonly showToOtherZone: () => void;
+    /** Shows this node's heads to one contact of each other zone. */
+    readonly showToOtherZones: () => void;
 }
 
 /** Handovers that wait for a pull; beyond it the oldest are dropped, and their senders turn to other members. */
@@ -140,6 +142,15 @@
         return true;
     };
 
+    /** Shows this node's heads to one of `contacts`. */
+    const showTo = (contacts: readonly PeerAddress[]): void => {
+        const contact = pickOne(random, contacts);
+        if (contact !== undefined) {
+            counters.headsSent += 1;
+            outlet.sendHeads(contact, store.heads());
+        }
+    };
+
     const takeHandovers = (head: Head): readonly Handover[] => {
         const handovers = waiting.get(head.partner) ?? [];
         waiting.set(head.partner, handovers.filter((handover) => handover.head.sequence > head.sequence));
@@ -170,12 +181,7 @@
                 handOver(head, pickSeveral(random, contacts, contacts.length), undefined, () => undefined);
             }
         },
-        showToOtherZone: () => {
-            const contacts = pickOne(random, [...groupByZone(fleet.contacts()).values()]) ?? [];
-            for (const contact of pickSeveral(random, contacts, 1)) {
-                counters.headsSent += 1;
-                outlet.sendHeads(contact, store.heads());
-            }
-        },
+        showToOtherZone: () => showTo(pickOne(random, [...groupByZone(fleet.contacts()).values()]) ?? []),
+        showToOtherZones: () => [...groupByZone(fleet.contacts()).values()].forEach(showTo),
     };
 };
--- a/packages/oleandergap-membership/src/membershipTypes.ts
+++ b/packages/oleandergap-membership/src/membershipTypes.ts
@@ -16,7 +16,7 @@
 }
 
 /** What the node knows of itself at its start. */
-export type SelfDescription = Pick<Member, "id" | "zone" | "address" | "controlPort" | "gatePort">;
+export type SelfDescription = Pick<Member, "id" | "zone" | "address" | "controlPort" | "gatePort" | "linkClass">;
 
 /** A message of another part that is sent over the membership's transport. */
 export interface PushMessage {
--- a/packages/oleandergap-membership/src/recordCodec.ts
+++ b/packages/oleandergap-membership/src/recordCodec.ts
@@ -1,6 +1,7 @@
 /** Encodes member records. A record is encoded once and its bytes are reused for each datagram that carries it. */
 import {
     addressSchema,
+    linkClassSchema,
     memberStateSchema,
     memberTargetSchema,
     nodeIdSchema,
@@ -40,6 +41,7 @@
     z.number().int().min(0).max(memberStates.length - 1),
     z.number().int().nonnegative(),
     targetTupleSchema.nullable(),
+    linkClassSchema.nullable(),
 ]);
 
 type RecordTuple = z.infer<typeof recordTupleSchema>;
@@ -61,12 +63,14 @@
     memberStates.indexOf(member.state),
     member.revision,
     member.target === undefined ? null : toTargetTuple(member.target),
+    member.linkClass ?? null,
 ];
 
 const fromTuple = (tuple: RecordTuple, zone: ZoneName): Member => {
-    const [id, address, controlPort, gatePort, incarnation, stateIndex, revision, targetTuple] = tuple;
+    const [id, address, controlPort, gatePort, incarnation, stateIndex, revision, targetTuple, linkClass] = tuple;
     const state = memberStates[stateIndex] ?? "alive";
-    const member = { id, zone, address, controlPort, gatePort, incarnation, state, revision };
+    const described = { id, zone, address, controlPort, gatePort, incarnation, state, revision };
+    const member: Member = linkClass === null ? described : { ...described, linkClass };
     if (targetTuple === null) {
         return member;
     }
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -21,7 +21,7 @@
     type Membership,
     type TargetDirectory,
 } from "oleandergap-membership";
-import type { Clock, ObjectStore, ServiceReference, ZoneName } from "oleandergap-types";
+import { classifyLink, type Clock, type ObjectStore, type ServiceReference, type ZoneName } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { PeerAccess } from "./control/peerAccess.js";
 import { createZoneFetcher } from "./control/zoneFetcher.js";
@@ -55,13 +55,14 @@
 
 export const createControlPlane = (dependencies: ControlPlaneDependencies): ControlPlane => {
     const { options, clock, random, createPartLogger, objectStore, source, peerAccess, signal } = dependencies;
-    const { nodeId, zone, partners, listen } = options;
+    const { nodeId, zone, partners, listen, linkMegabitsPerSecond: width } = options;
     const self = {
         id: nodeId,
         zone,
         address: listen.address,
         controlPort: listen.controlPort,
         gatePort: listen.gatePort,
+        ...width === undefined ? {} : { linkClass: classifyLink(width) },
     };
 
     const store = createConfigurationStore({
--- a/packages/oleandergap-types/src/member.ts
+++ b/packages/oleandergap-types/src/member.ts
@@ -43,6 +43,16 @@
 export const memberStateSchema = z.enum(["alive", "suspect", "left", "dead"]);
 export type MemberState = z.infer<typeof memberStateSchema>;
 
+/** Largest class of a link: a terabit a second. */
+const MAX_LINK_CLASS = 20;
+/** Width of a VM's link as a power of two: 0 up to 2 Mbit/s, 1 up to 4, 6 from 64 to 128. */
+export const linkClassSchema = z.number().int().min(0).max(MAX_LINK_CLASS);
+export type LinkClass = z.infer<typeof linkClassSchema>;
+
+/** The class of a link of so many megabits a second. */
+export const classifyLink = (megabitsPerSecond: number): LinkClass =>
+    Math.min(MAX_LINK_CLASS, Math.max(0, Math.floor(Math.log2(megabitsPerSecond))));
+
 /** A node as its peers know it. */
 export const memberSchema = z.strictObject({
     id: nodeIdSchema,
@@ -58,6 +68,8 @@
     /** Raised by the member with each change of its target; breaks ties within an incarnation. */
     revision: z.number().int().nonnegative(),
     target: memberTargetSchema.optional(),
+    /** Absent when the node does not know its link. */
+    linkClass: linkClassSchema.optional(),
 });
 export type Member = z.infer<typeof memberSchema>;
 
--- a/packages/oleandergap-utils/src/silenceWatch.ts
+++ b/packages/oleandergap-utils/src/silenceWatch.ts
@@ -1,8 +1,8 @@
 /**
  * Bounds an answer by its silence. A long answer over a narrow link takes its time, the more so when the link carries
- * much besides. Given up after a fixed time in all it would be asked for anew, from its first byte, and the link would be
- * filled by answers that nobody reads; one would see nodes with narrow links stay behind. So only a silence ends it, and
- * a total far beyond the usual, for an answer that comes without an end.
+ * much besides. Given up after a fixed time in all it would be asked for anew, from its first byte, and the link would
+ * be filled by answers that nobody reads; one would see nodes with narrow links stay behind. So only a silence ends it,
+ * and a total far beyond the usual, for an answer that comes without an end.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 
