Large steps are pulled from members with wide links

Ruled out: pulls given up (none but one). Change: a step may have 20,000 cells (an operator's own change 200, as before); an offer names a member with a wider link that holds the version, and it is asked first; a member that has delivered a version is known to hold it.

--- a/packages/oleandergap-configuration/src/store/deltaHistory.ts
+++ b/packages/oleandergap-configuration/src/store/deltaHistory.ts
@@ -1,8 +1,11 @@
 /** The latest deltas of one partner, kept for peers that are a little behind. */
-import { getBaseSequence, type Delta, type Sequence } from "oleandergap-types";
+import { getBaseSequence, MAX_CELLS_PER_STEP, type Delta, type Sequence } from "oleandergap-types";
 
-/** Most changed cells kept, so that many large changes cannot fill the memory of a node. */
-const MAX_CHANGES_KEPT = 4000;
+/**
+ * Most changed cells kept, so that many large changes cannot fill the memory of a node: one step of the largest size,
+ * about 4 MB.
+ */
+const MAX_CHANGES_KEPT = MAX_CELLS_PER_STEP;
 
 /** A run of deltas without gaps that ends at the version in force. */
 export interface DeltaHistory {
--- a/packages/oleandergap-configuration/src/version/delta.ts
+++ b/packages/oleandergap-configuration/src/version/delta.ts
@@ -3,7 +3,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import {
     getBaseSequence,
-    MAX_CELLS_PER_CHANGE,
+    MAX_CELLS_PER_STEP,
     type CellChange,
     type Delta,
     type PartnerDocument,
@@ -64,13 +64,13 @@
 export const deriveDelta = (previous: PartnerDocument, next: PartnerDocument): Delta | undefined => {
     const [before, after] = [getRowIndex(previous), getRowIndex(next)];
     const rows = listChangedRows(before, after);
-    if (rows.length > MAX_CELLS_PER_CHANGE) {
+    if (rows.length > MAX_CELLS_PER_STEP) {
         return undefined;
     }
     const changes = rows.flatMap((row) =>
         listRowChanges(before.rows.get(row)?.cells ?? NO_CELLS, after.rows.get(row)?.cells ?? NO_CELLS));
     const { partner, sequence, digest } = next;
-    return changes.length > MAX_CELLS_PER_CHANGE ?
+    return changes.length > MAX_CELLS_PER_STEP ?
         undefined :
         { partner, sequence, baseSequence: previous.sequence, baseDigest: previous.digest, digest, changes };
 };
--- /dev/null
+++ b/packages/oleandergap-distribution/src/__tests__/largeSteps.test.ts
@@ -0,0 +1,57 @@
+// Symptom: when many routes are added at once, nodes answer by the old version for seconds, the later the deeper they
+// stand in the tree of the spread; small changes reach them at once.
+// Sequence: a version adds hundreds of routes; its step is too large for a datagram, so that each member pulls it from
+// the one that offers it; narrow links carry it to four members each, level by level.
+// Cause: the tree hands on the source of a version along with the news of it, whatever that source's link carries.
+// Evidence: by calculation, 0.1 MB to four members takes 0.9 s of a link of 3.5 Mbit/s, three levels 2.7 s.
+import { expect } from "chai";
+import type { CellValue } from "oleandergap-types";
+import { defaultDistributionOptions } from "../options.js";
+import { expectInForceEverywhere } from "./fleetAssertions.js";
+import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { WEIGHT_CELL } from "./recordingStore.js";
+
+const WIDE = [5, 16];
+const ADDED_LIMITS = 300;
+
+const createManyLimits = (): Readonly<Record<string, CellValue>> =>
+    Object.fromEntries(Array.from({ length: ADDED_LIMITS }).flatMap((_, number) => [
+        [`limits/l-${number}/concurrency`, 4],
+        [`limits/l-${number}/queue`, 8],
+        [`limits/l-${number}/timeoutMs`, 2_000],
+        [`limits/l-${number}/retryRatio`, 0.1],
+    ]));
+
+const startZone = async (): Promise<InMemoryFleet> => {
+    const reader = { ...defaultDistributionOptions.reader, intervalMs: 100 };
+    const budget = { ...defaultDistributionOptions.budget, zones: 1, readerReadsPerSecond: 400 };
+    const fleet = createInMemoryFleet({
+        zones: 1,
+        nodesPerZone: 28,
+        seed: 51,
+        options: { ...defaultDistributionOptions, reader, budget },
+        linkClassOf: (index) => WIDE.includes(index) ? 6 : 1,
+    });
+    fleet.platform.holdDocuments();
+    await fleet.startAll();
+    await fleet.clock.advance(5_000);
+    fleet.platform.accept("halloway", { [WEIGHT_CELL]: 1 });
+    await fleet.clock.advance(3_000);
+    return fleet;
+};
+
+describe("the spread of a large step", () => {
+    it("leaves the way through narrow links to the news of it", async () => {
+        const fleet = await startZone();
+        const before = new Map(fleet.network.bytes);
+        fleet.platform.accept("halloway", createManyLimits());
+        await fleet.clock.advance(1_500);
+        expectInForceEverywhere(fleet, "halloway");
+        const sizeOfStep = Buffer.byteLength(JSON.stringify(createManyLimits()));
+        const carriers = fleet.nodes.flatMap(({ address }, index) =>
+            (fleet.network.bytes.get(address.id) ?? 0) - (before.get(address.id) ?? 0) > sizeOfStep ? [index] : []);
+        expect(WIDE).to.include.members(carriers);
+        expect(fleet.nodes.every((node) => node.store.deltaTo("halloway", 3) !== undefined)).to.equal(true);
+        fleet.stop();
+    });
+});
--- a/packages/oleandergap-distribution/src/headReceiver.ts
+++ b/packages/oleandergap-distribution/src/headReceiver.ts
@@ -110,6 +110,9 @@
         if (message.kind === "Step") {
             applyStep(from, message.delta);
         }
+        if (message.kind === "Offer" && message.holder !== undefined) {
+            tell({ head, source: { kind: "Peer", peer: message.holder } });
+        }
         // Does nothing once the step is in force. A step that does not fit, or that was damaged on its way, is
         // refused by
         // the store, and its sender is then asked by a pull.
--- a/packages/oleandergap-distribution/src/spread.ts
+++ b/packages/oleandergap-distribution/src/spread.ts
@@ -95,7 +95,7 @@
         pull: options.pull,
         counters,
     });
-    const fetchVersion = createVersionFetcher({ ...dependencies, budget, arrivals, counters });
+    const fetchVersion = createVersionFetcher({ ...dependencies, budget, arrivals, peerHeads, counters });
     const createPuller = (partner: PartnerName): VersionPuller => createVersionPuller({
         ...dependencies,
         partner,
--- a/packages/oleandergap-distribution/src/versionFetcher.ts
+++ b/packages/oleandergap-distribution/src/versionFetcher.ts
@@ -5,6 +5,7 @@
 import type { ArrivalOrigin, Arrivals } from "./arrivals.js";
 import { callWithin, type CallBound } from "./boundedCall.js";
 import type { ClaimSource } from "./claimBook.js";
+import type { PeerHeads } from "./peerHeads.js";
 import type { ConfigurationSourcePort, ConfigurationStorePort, PeerAddress, PeerPort } from "./ports.js";
 import type { SpreadCounters } from "./statistics.js";
 import { READS_PER_DOCUMENT, type ReadBudget } from "./readBudget.js";
@@ -23,6 +24,8 @@
     readonly source: Pick<ConfigurationSourcePort, "readDeltas" | "readDocument" | "holdsDocuments">;
     readonly budget: ReadBudget;
     readonly arrivals: Pick<Arrivals, "offerFrom">;
+    /** Learns that a peer holds what it has just delivered. */
+    readonly peerHeads: Pick<PeerHeads, "note">;
     readonly counters: SpreadCounters;
 }
 
@@ -43,7 +46,7 @@
 
 /** Creates the function that fetches; it never rejects. */
 export const createVersionFetcher = (
-    { store, peers, source, budget, arrivals, counters }: VersionFetcherDependencies,
+    { store, peers, source, budget, arrivals, peerHeads, counters }: VersionFetcherDependencies,
 ): FetchVersion => {
     const sequenceOf = (partner: PartnerName): number => store.document(partner).sequence;
 
@@ -81,11 +84,13 @@
         const version = answer.right;
         if (version.kind === "Document") {
             counters.documentPulls += 1;
+            peerHeads.note(peer.id, version.document);
             return offer(partner, { way: "document", peer: peer.id }, () => store.offerDocument(version.document));
         }
         if (version.deltas.length === 0) {
             return either.left({ kind: "NothingNewer" });
         }
+        version.deltas.slice(-1).forEach((last) => peerHeads.note(peer.id, last));
         const outcome = offer(partner, { way: "steps", peer: peer.id }, () =>
             store.offerDeltas(partner, version.deltas));
         const mayFit = either.isRight(outcome) || outcome.left.kind !== "Refused";
--- a/packages/oleandergap-distribution/src/versionHandover.ts
+++ b/packages/oleandergap-distribution/src/versionHandover.ts
@@ -4,7 +4,7 @@
 import type { Delegator } from "./delegation.js";
 import type { SpreadOptions } from "./options.js";
 import type { PeerHeads } from "./peerHeads.js";
-import type { ConfigurationStorePort, PeerAddress, SpreadOutlet } from "./ports.js";
+import type { ConfigurationStorePort, FleetMember, FleetPort, PeerAddress, SpreadOutlet } from "./ports.js";
 import type { ScoreRange } from "./scoreRange.js";
 import type { SpreadMessage } from "./spreadMessage.js";
 
@@ -15,6 +15,7 @@
 export interface HandOverDependencies {
     readonly store: Pick<ConfigurationStorePort, "deltaTo">;
     readonly delegator: Pick<Delegator, "delegate">;
+    readonly fleet: Pick<FleetPort, "self" | "members">;
     readonly peerHeads: Pick<PeerHeads, "holds">;
     readonly options: Pick<SpreadOptions, "inlineDeltaBytes" | "acknowledgeTimeoutMs">;
     readonly send: SendSpreadMessage;
@@ -34,19 +35,45 @@
 /** A version that must be pulled first is acknowledged later. */
 const OFFER_TIMEOUT_FACTOR = 2;
 
-const createMessage = (
+const toAddress = ({ id, zone, address, controlPort }: PeerAddress): PeerAddress =>
+    ({ id, zone, address, controlPort });
+
+/**
+ * The member that is best asked for a version, if it is another one than this node. A large step that each member pulls
+ * from the one before it in the tree travels through narrow links three times over; 0.1 MB to four members takes a
+ * second of such a link, and one would see a zone behind for as many seconds as the tree is deep.
+ */
+const findHolder = (
     head: Head,
-    delta: CompactDelta | undefined,
-    range: ScoreRange | undefined,
-): SpreadMessage => {
-    const ranged = range === undefined ? {} : { range };
-    return delta === undefined ? { kind: "Offer", head, ...ranged } : { kind: "Step", delta, ...ranged };
+    { fleet, peerHeads }: Pick<HandOverDependencies, "fleet" | "peerHeads">,
+): PeerAddress | undefined => {
+    const members = fleet.members();
+    const ownClass = members.find(({ id }) => id === fleet.self().id)?.linkClass ?? 0;
+    const wider = members.filter(({ id, linkClass = 0 }) => linkClass > ownClass && peerHeads.holds(id, head));
+    const widest = wider.reduce<FleetMember | undefined>((best, member) =>
+        best === undefined || (member.linkClass ?? 0) > (best.linkClass ?? 0) ? member : best, undefined);
+    return widest === undefined ? undefined : toAddress(widest);
 };
 
 /** Creates the function that hands versions over. */
 export const createHandOver = (
-    { store, delegator, peerHeads, options, send }: HandOverDependencies,
+    dependencies: HandOverDependencies,
 ): HandOver => {
+    const { store, delegator, peerHeads, options, send } = dependencies;
+
+    const createMessage = (
+        head: Head,
+        delta: CompactDelta | undefined,
+        range: ScoreRange | undefined,
+    ): SpreadMessage => {
+        const ranged = range === undefined ? {} : { range };
+        if (delta !== undefined) {
+            return { kind: "Step", delta, ...ranged };
+        }
+        const holder = findHolder(head, dependencies);
+        return { kind: "Offer", head, ...ranged, ...holder === undefined ? {} : { holder } };
+    };
+
     /** The step to `head` if it fits into a datagram. */
     const findInlineDelta = (head: Head): CompactDelta | undefined => {
         const delta = store.deltaTo(head.partner, head.sequence);
--- a/packages/oleandergap-distribution/src/versionPusher.ts
+++ b/packages/oleandergap-distribution/src/versionPusher.ts
@@ -84,7 +84,7 @@
     const delegator = createDelegator({ self, sequenceOf, clock, signal });
 
     const send = createCountingSend(outlet, counters);
-    const handOver = createHandOver({ store, delegator, peerHeads, options, send });
+    const handOver = createHandOver({ store, delegator, fleet, peerHeads, options, send });
 
     /** False when the same request has come before, as when its acknowledgement was lost. */
     const notePassed = (head: Head, requester: NodeId, range: ScoreRange): boolean => {
--- a/packages/oleandergap-types/src/table.ts
+++ b/packages/oleandergap-types/src/table.ts
@@ -9,8 +9,13 @@
 export const MAX_CELL_ADDRESS_LENGTH = 160;
 /** Longest text in a cell, in characters. */
 export const MAX_CELL_TEXT_LENGTH = 200;
-/** Most cells that one change may set. */
+/** Most cells that one change of an operator may set. */
 export const MAX_CELLS_PER_CHANGE = 200;
+/**
+ * Most cells in the step from one version to the next. Where a platform hands out whole versions, a step may be far
+ * larger than a change of ours: 1,640 more routes are 13,000 cells.
+ */
+export const MAX_CELLS_PER_STEP = 20_000;
 
 /**
  * Where a cell stands, for example `services/grant-filer/weights/hall-a`, `services/grant-filer/limit` or
@@ -63,7 +68,7 @@
     baseSequence: sequenceSchema.optional(),
     baseDigest: digestSchema,
     digest: digestSchema,
-    changes: z.array(cellChangeSchema).max(MAX_CELLS_PER_CHANGE),
+    changes: z.array(cellChangeSchema).max(MAX_CELLS_PER_STEP),
 });
 export type Delta = z.infer<typeof deltaSchema>;
 
