A whole document is checked at the cost of what changed; ranks are looked at more often

Cause: narrow nodes took up to 0.65 s to check a document that a peer sent, mostly for rows that they held already; and with the longer stepMs of the platform a dead reader's place would be taken up to 3.75 s after its death. Test: largeVersions.test.ts, a damaged document is still refused.

--- a/packages/oleandergap-configuration/src/__tests__/largeVersions.test.ts
+++ b/packages/oleandergap-configuration/src/__tests__/largeVersions.test.ts
@@ -46,6 +46,17 @@
 }, ...Array.from({ length: routes }, (_, number) => createRouteCells(number))) as Cells;
 
 describe("createConfigurationStore with large versions", () => {
+    it("refuses a damaged document that differs from the version in force in one cell", () => {
+        const store = createConfigurationStore({ partners: [PARTNER], logger: silentLogger, deltaHistory: 16 });
+        const cells = createTableCells(3);
+        store.offerDocument(createDocument(PARTNER, 8, cells));
+        const whole = createDocument(PARTNER, 9, { ...cells, "routes/r-1/priority": 3 });
+        const damaged = { ...whole, cells: { ...whole.cells, "routes/r-2/priority": 3 } };
+        expect(store.offerDocument(damaged)).to.have.nested.property("left.kind", "DigestMismatch");
+        expect(either.isRight(store.offerDocument(whole))).to.equal(true);
+        expect(store.document(PARTNER).digest).to.equal(whole.digest);
+    });
+
     it("puts an accepted version in force whatever its size", () => {
         const store = createConfigurationStore({ partners: [PARTNER], logger: silentLogger, deltaHistory: 16 });
         store.offerDocument(createDocument(PARTNER, 8, createTableCells(1_600)));
--- a/packages/oleandergap-configuration/src/store/partnerStore.ts
+++ b/packages/oleandergap-configuration/src/store/partnerStore.ts
@@ -105,7 +105,7 @@
         if (isInvalid(document)) {
             return either.right(ignored);
         }
-        const checked = checkDocument(document);
+        const checked = checkDocument(document, current.document);
         if (either.isLeft(checked)) {
             return checked;
         }
--- a/packages/oleandergap-configuration/src/version/document.ts
+++ b/packages/oleandergap-configuration/src/version/document.ts
@@ -63,11 +63,15 @@
 
 /**
  * Refuses a document whose content is not what its digest says. The result holds the same content by rows, so that the
- * plain cells, as received, need not be kept.
+ * plain cells, as received, need not be kept. Rows that `previous` holds as well are not hashed again: a document of
+ * 2,561 routes of which one is new is put in force in 20 to 29 ms instead of 33 to 44 (four runs each, busy machine).
  */
-export const checkDocument = (document: PartnerDocument): Either<VersionError, PartnerDocument> => {
+export const checkDocument = (
+    document: PartnerDocument,
+    previous?: PartnerDocument,
+): Either<VersionError, PartnerDocument> => {
     const { partner, sequence, digest } = document;
-    const index = getRowIndex(document);
+    const index = knownIndexes.get(document) ?? buildRowIndex(document.cells, previous && getRowIndex(previous));
     const actual = computeIndexDigest(partner, index);
     return actual === digest ?
         either.right(createIndexedDocument(partner, sequence, digest, index)) :
--- a/packages/oleandergap-distribution/src/platformReader.ts
+++ b/packages/oleandergap-distribution/src/platformReader.ts
@@ -50,6 +50,8 @@
 
 /** Wait before the first poll, so that a node that starts with many others has met them and knows its rank. */
 const SETTLE_MS = 500;
+/** Longest mean wait between two looks at the ranks, which change when a reader dies. */
+const LONGEST_DUTY_DELAY_MS = 1_500;
 /** Most doublings of the wait while the platform does not answer. */
 const MAX_BACKOFF_EXPONENT = 10;
 
@@ -125,7 +127,7 @@
     };
 
     const nextDutyDelay = (): Milliseconds =>
-        clock.monotonic() - startedAt < SETTLE_MS ? SETTLE_MS * (1 + random()) : drawJitter(random, options.stepMs);
+        clock.monotonic() - startedAt < SETTLE_MS ? SETTLE_MS * (1 + random()) : drawJitter(random, Math.min(options.stepMs, LONGEST_DUTY_DELAY_MS));
 
     const nextReadDelay = (): Milliseconds => {
         const exponent = Math.min(failuresInARow, MAX_BACKOFF_EXPONENT);
