--- a/packages/oleandergap-configuration/src/version/delta.ts
+++ b/packages/oleandergap-configuration/src/version/delta.ts
@@ -3,6 +3,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import {
     getBaseSequence,
+    MAX_CELLS_PER_CHANGE,
     MAX_CELLS_PER_STEP,
     type CellChange,
     type Delta,
@@ -57,6 +58,12 @@
     return [...removed, ...set];
 };
 
+/**
+ * Largest share of a table's cells in a step. With each cell a step also carries names of fields; at two thirds it is
+ * as long as the whole version.
+ */
+const MAX_CHANGED_SHARE = 0.6;
+
 /**
  * The step between two versions that both arrived whole, so that it can be handed on in place of the second one.
  * Undefined when the versions are too far apart for one step.
@@ -70,7 +77,8 @@
     const changes = rows.flatMap((row) =>
         listRowChanges(before.rows.get(row)?.cells ?? NO_CELLS, after.rows.get(row)?.cells ?? NO_CELLS));
     const { partner, sequence, digest } = next;
-    return changes.length > MAX_CELLS_PER_STEP ?
+    const usefulLength = Math.max(MAX_CELLS_PER_CHANGE, MAX_CHANGED_SHARE * after.cellCount);
+    return changes.length > Math.min(MAX_CELLS_PER_STEP, usefulLength) ?
         undefined :
         { partner, sequence, baseSequence: previous.sequence, baseDigest: previous.digest, digest, changes };
 };
--- a/packages/oleandergap-distribution/src/__tests__/largeSteps.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/largeSteps.test.ts
@@ -9,17 +9,16 @@
 import { defaultDistributionOptions } from "../options.js";
 import { expectInForceEverywhere } from "./fleetAssertions.js";
 import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
-import { WEIGHT_CELL } from "./recordingStore.js";
 
 const WIDE = [5, 16];
 const ADDED_LIMITS = 300;
 
-const createManyLimits = (): Readonly<Record<string, CellValue>> =>
+const createManyLimits = (name: string): Readonly<Record<string, CellValue>> =>
     Object.fromEntries(Array.from({ length: ADDED_LIMITS }).flatMap((_, number) => [
-        [`limits/l-${number}/concurrency`, 4],
-        [`limits/l-${number}/queue`, 8],
-        [`limits/l-${number}/timeoutMs`, 2_000],
-        [`limits/l-${number}/retryRatio`, 0.1],
+        [`limits/${name}-${number}/concurrency`, 4],
+        [`limits/${name}-${number}/queue`, 8],
+        [`limits/${name}-${number}/timeoutMs`, 2_000],
+        [`limits/${name}-${number}/retryRatio`, 0.1],
     ]));
 
 const startZone = async (): Promise<InMemoryFleet> => {
@@ -35,7 +34,7 @@
     fleet.platform.holdDocuments();
     await fleet.startAll();
     await fleet.clock.advance(5_000);
-    fleet.platform.accept("halloway", { [WEIGHT_CELL]: 1 });
+    fleet.platform.accept("halloway", createManyLimits("old"));
     await fleet.clock.advance(3_000);
     return fleet;
 };
@@ -44,10 +43,10 @@
     it("leaves the way through narrow links to the news of it", async () => {
         const fleet = await startZone();
         const before = new Map(fleet.network.bytes);
-        fleet.platform.accept("halloway", createManyLimits());
+        fleet.platform.accept("halloway", createManyLimits("new"));
         await fleet.clock.advance(1_500);
         expectInForceEverywhere(fleet, "halloway");
-        const sizeOfStep = Buffer.byteLength(JSON.stringify(createManyLimits()));
+        const sizeOfStep = Buffer.byteLength(JSON.stringify(createManyLimits("new")));
         const carriers = fleet.nodes.flatMap(({ address }, index) =>
             (fleet.network.bytes.get(address.id) ?? 0) - (before.get(address.id) ?? 0) > sizeOfStep ? [index] : []);
         expect(WIDE).to.include.members(carriers);
--- a/packages/oleandergap-distribution/src/platformReader.ts
+++ b/packages/oleandergap-distribution/src/platformReader.ts
@@ -127,7 +127,9 @@
     };
 
     const nextDutyDelay = (): Milliseconds =>
-        clock.monotonic() - startedAt < SETTLE_MS ? SETTLE_MS * (1 + random()) : drawJitter(random, Math.min(options.stepMs, LONGEST_DUTY_DELAY_MS));
+        clock.monotonic() - startedAt < SETTLE_MS ?
+            SETTLE_MS * (1 + random()) :
+            drawJitter(random, Math.min(options.stepMs, LONGEST_DUTY_DELAY_MS));
 
     const nextReadDelay = (): Milliseconds => {
         const exponent = Math.min(failuresInARow, MAX_BACKOFF_EXPONENT);
