--- a/packages/oleandergap-types/src/table.ts
+++ b/packages/oleandergap-types/src/table.ts
@@ -85,14 +85,20 @@
 });
 export type PartnerDocument = z.infer<typeof documentSchema>;
 
+/** Bounds of figures in the table; see the fields that they belong to. */
+export const MAX_CONCURRENCY = 10_000;
+export const MAX_TABLE_DURATION_MS = 600_000;
+export const MAX_ATTEMPTS_OF_ROUTE = 100;
+export const MAX_PRIORITY = 1000;
+
 /** Limits that a service row refers to by name. */
 export const limitSchema = z.strictObject({
     /** Most requests in flight at one target; the target's own slots apply as well. */
-    concurrency: z.number().int().min(1).max(10_000),
+    concurrency: z.number().int().min(1).max(MAX_CONCURRENCY),
     /** Most requests waiting at one gate. */
     queue: z.number().int().min(0).max(10_000),
     /** Time a request may take when its caller names none. */
-    timeoutMs: z.number().int().min(1).max(600_000),
+    timeoutMs: z.number().int().min(1).max(MAX_TABLE_DURATION_MS),
     /** Retries allowed as a share of the requests, from 0 to 1. */
     retryRatio: z.number().min(0).max(1),
 });
@@ -146,13 +152,13 @@
     prefix: z.string().max(MAX_PREFIX_LENGTH).regex(/^\/([^?#\s]*\/)?$/, "begin and end the prefix with a slash"),
     kind: routeKindSchema,
     /** Most targets that one request may be sent to. */
-    maxAttempts: z.number().int().min(1).max(100),
+    maxAttempts: z.number().int().min(1).max(MAX_ATTEMPTS_OF_ROUTE),
     /** Longest time that a caller is kept waiting, in milliseconds. */
-    timeoutMs: z.number().int().min(1).max(600_000),
+    timeoutMs: z.number().int().min(1).max(MAX_TABLE_DURATION_MS),
     /** Time within which an answer is worth most to its caller, in milliseconds. */
-    targetLatencyMs: z.number().int().min(1).max(600_000),
+    targetLatencyMs: z.number().int().min(1).max(MAX_TABLE_DURATION_MS),
     /** Rank among the requests of one service; 0 goes first. */
-    priority: z.number().int().min(0).max(1000),
+    priority: z.number().int().min(0).max(MAX_PRIORITY),
 });
 
 /** One of the services that a route's requests are divided among. */
