--- a/packages/oleandergap-distribution/src/arrivals.ts
+++ b/packages/oleandergap-distribution/src/arrivals.ts
@@ -82,9 +82,10 @@
             }
         },
         offerFrom: (origin, run) => {
+            const outer = offer;
             offer = { origin, startedAt: clock.monotonic() };
             const result = run();
-            offer = undefined;
+            offer = outer;
             return result;
         },
         noteApplied: (head, cells) => {
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -11,8 +11,6 @@
 import { z } from "zod";
 
 const MEBIBYTE = 1024 * 1024;
-/** A terabit a second. */
-const MAX_LINK_MEGABITS = 1_000_000;
 
 const listenSchema = z.strictObject({
     /** Address of this VM. Other nodes reach this node by it, so it must not be a wildcard. */
@@ -95,7 +93,7 @@
     partners: z.array(partnerNameSchema).min(1).max(16),
     listen: listenSchema,
     /** Width of this VM's link; nodes with wide ones read the platform for the others. */
-    linkMegabitsPerSecond: z.number().positive().max(MAX_LINK_MEGABITS).optional(),
+    linkMegabitsPerSecond: z.number().positive().optional(),
     cluster: clusterSchema.prefault({}),
     platform: z.strictObject({
         tableService: platformOptionsSchema,
