--- a/packages/oleandergap-distribution/src/readerDuty.ts
+++ b/packages/oleandergap-distribution/src/readerDuty.ts
@@ -28,7 +28,7 @@
 /**
  * How many of the ranked members read. Those with far narrower links than the first stand by while two others read: in
  * a fleet with a few wide links, eleven nodes with narrow ones lost the platform for three seconds each while versions
- * of 0.37 MB came, and those with wide links had each 0.1 to 0.2 s after its acceptance.
+ * of 0.37 MB came, and those that read one in time had it 0.1 s after the first in the median.
  */
 export const countReaders = (ranked: readonly FleetMember[], readers: number): number => {
     const widest = ranked[0] === undefined ? 0 : classOf(ranked[0]);
