Sight: a node can tell which parts take its processor time

Ruled out: a sampler that is always on (it takes a tenth of a resting node's time itself). Change: the setting diagnostics.processorProfileMs, off by default and checked, samples the process by the engine's profiler and writes a line a period: time by part, costliest functions, processor time, wake-ups, reads and writes. npm run measure -- profile adds the lines of all nodes up.

--- a/packages/oleandergap-measure/src/main.ts
+++ b/packages/oleandergap-measure/src/main.ts
@@ -4,6 +4,7 @@
 import { createSystemClock } from "oleandergap-utils";
 import { formatResult, type Experiment } from "./experiment.js";
 import { experiments } from "./experiments.js";
+import { addProfileCommand } from "./profile/addProfileCommand.js";
 
 const EXIT_FAILURE = 1;
 const MAX_NODES = 300;
@@ -62,4 +63,5 @@
     "Measures the system against a naive version. The last line of output is one JSON object.",
 );
 experiments.forEach((experiment) => addExperiment(program, experiment));
+addProfileCommand(program);
 await program.parseAsync();
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -17,6 +17,7 @@
 import type { ListenError } from "./http/listener.js";
 import { createNodeLifecycle } from "./nodeLifecycle.js";
 import type { NodeOptions } from "./options.js";
+import { openProcessorProfile } from "./profile/openProcessorProfile.js";
 
 export interface NodeDependencies {
     readonly options: NodeOptions;
@@ -82,6 +83,7 @@
         readiness,
     });
     store.subscribe(requestPath.target.refreshLimit);
+    openProcessorProfile({ options, clock, logger: createLogger("profile"), signal });
     addNodeGauges(metrics, { controlPlane, requestPath, peerAccess, tableService, objectStore, readiness });
 
     return createNodeLifecycle({
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -77,6 +77,14 @@
     requestLinesPerSecond: z.number().min(0).max(10_000).default(20),
 });
 
+const diagnosticsSchema = z.strictObject({
+    /**
+     * Distance of two lines that say which parts of the node took its processor time; none without it. Sampling takes
+     * a few hundredths of that time itself.
+     */
+    processorProfileMs: z.number().int().min(1000).max(600_000).optional(),
+});
+
 const clusterSchema = z.strictObject({
     /** File with the key that all nodes share; a relative path starts at the folder of the settings file. */
     keyFile: z.string().min(1).optional(),
@@ -103,6 +111,7 @@
     target: targetSchema.prefault({}),
     stop: stopSchema.prefault({}),
     logs: logsSchema.prefault({}),
+    diagnostics: diagnosticsSchema.prefault({}),
     membership: membershipOptionsSchema.prefault({}),
     targetDirectory: targetDirectoryOptionsSchema.prefault({}),
     distribution: distributionOptionsSchema.prefault({}),
