Periodic work of a node shares its turns; a zone that was just probed is not probed again

Cause: a dozen periodic duties with a timer each woke a resting node at 53 moments a second (membership 10, directory 10, reading duty 10, looks for a slow event loop 20, others 3), and every other zone was probed both for its digest and in its turn. Ruled out: longer periods, which would show a dead member, a version or a leaving target later. Change: a clock for periodic work whose timers fire together, at multiples of 100 ms, the shortest period of the duties (versions, handovers, requests keep the precise one); looks for a slow event loop fall on the same moments while no request comes; a contact's turn is left out when its zone was probed within half of the distance of two turns. Given up: up to 0.1 s in noticing what time limits of the control plane notice (a member without an answer, a lost store, an outdated list); a pause of a resting node is seen from 0.13 s on instead of 0.08 s.

--- a/packages/oleandergap-distribution/src/spread.ts
+++ b/packages/oleandergap-distribution/src/spread.ts
@@ -34,6 +34,8 @@
     readonly peers: PeerPort;
     readonly source: ConfigurationSourcePort;
     readonly clock: Clock;
+    /** For periodic work; what follows a version as it comes is timed by `clock`. */
+    readonly backgroundClock?: Clock;
     readonly random: Random;
     readonly logger: Logger;
     readonly options: DistributionOptions;
@@ -74,7 +76,7 @@
 }
 
 const createSpreadParts = (dependencies: SpreadDependencies): SpreadParts => {
-    const { partners, fleet, clock, logger, options } = dependencies;
+    const { partners, fleet, clock, backgroundClock = clock, logger, options } = dependencies;
     const arrivals = createArrivals({ clock, logger });
     const counters = createCounters();
     const peerHeads = createPeerHeads();
@@ -89,6 +91,7 @@
     });
     const reader = createPlatformReader({
         ...dependencies,
+        clock: backgroundClock,
         budget,
         tell,
         options: options.reader,
@@ -137,7 +140,7 @@
 
 /** Creates the distribution of one node. */
 export const createSpread = (dependencies: SpreadDependencies): Spread => {
-    const { store, clock, random, logger, options, signal } = dependencies;
+    const { store, clock, backgroundClock = clock, random, logger, options, signal } = dependencies;
     // Each wait listens to the signal for as long as it lasts, so more than the default of ten listeners is no leak.
     setMaxListeners(0, signal);
     const parts = createSpreadParts(dependencies);
@@ -180,7 +183,8 @@
     };
 
     const repeat = (interval: Milliseconds, run: () => void | Promise<void>): void => {
-        void runPeriodically({ clock, logger, signal, delay: () => drawJitter(random, interval), run });
+        const delay = (): Milliseconds => drawJitter(random, interval);
+        void runPeriodically({ clock: backgroundClock, logger, signal, delay, run });
     };
 
     return {
--- /dev/null
+++ b/packages/oleandergap-membership/src/__tests__/contactBook.test.ts
@@ -0,0 +1,75 @@
+// Symptom: resting nodes of five zones send as many probes to other zones' contacts as all their other datagrams.
+// Sequence: each zone is probed for the digest of its targets once a second, and in its turn as a contact as well.
+// Cause: the turn did not look when the zone was probed last. Counted here: probes sent.
+import { expect } from "chai";
+import type { Clock, Milliseconds, ZoneName } from "oleandergap-types";
+import { createManualClock, createSeededRandom } from "oleandergap-utils";
+import { createContactBook, type ContactBook } from "../contactBook.js";
+import type { Messenger } from "../messenger.js";
+import { membershipOptionsSchema } from "../options.js";
+
+const OWN_ZONE: ZoneName = "zone-a";
+const OTHER_ZONES: readonly ZoneName[] = ["zone-b", "zone-c", "zone-d", "zone-e"];
+const TICK_MS: Milliseconds = 100;
+const PERIOD_MS: Milliseconds = 500;
+
+interface Harness {
+    readonly book: ContactBook;
+    readonly countProbes: () => number;
+    /** Ticks for `duration`, and calls `eachTick` with the time since the start. */
+    readonly run: (duration: Milliseconds, eachTick?: (passed: Milliseconds) => void) => Promise<void>;
+}
+
+const createHarness = (): Harness => {
+    const clock = createManualClock();
+    let probes = 0;
+    const messenger: Messenger = {
+        send: (_to, body) => {
+            probes += body.kind === "ContactProbe" ? 1 : 0;
+            return 0;
+        },
+        sendRecords: () => undefined,
+    };
+    const book = createContactBook({
+        selfId: "node-a",
+        ownZone: OWN_ZONE,
+        clock: clock satisfies Clock,
+        random: createSeededRandom(7),
+        options: membershipOptionsSchema.parse({ contactProbePeriodMs: PERIOD_MS }),
+        messenger,
+        roster: undefined,
+    });
+    const hearAll = (): void => OTHER_ZONES.forEach((zone, index) =>
+        book.hear({ id: `node-${zone}`, zone, address: `10.0.${index}.1`, controlPort: 7000 }));
+    const { signal } = new AbortController();
+    const run: Harness["run"] = async (duration, eachTick = () => undefined) => {
+        for (let passed = 0; passed < duration; passed += TICK_MS) {
+            hearAll();
+            eachTick(passed);
+            book.poll(signal);
+            await clock.advance(TICK_MS);
+        }
+    };
+    return { book, countProbes: () => probes, run };
+};
+
+describe("createContactBook", () => {
+    it("probes each zone in turn when nobody else does", async () => {
+        const { countProbes, run } = createHarness();
+        await run(10_000);
+        expect(countProbes()).to.be.within(15, 27);
+    });
+
+    it("does not probe a zone in its turn that was probed just before", async () => {
+        const { book, countProbes, run } = createHarness();
+        let asked = 0;
+        await run(10_000, (passed) => {
+            if (passed % 800 === 0) {
+                OTHER_ZONES.forEach((zone) => book.probeZone(zone));
+                asked += OTHER_ZONES.length;
+            }
+        });
+        // Without that, 20 more.
+        expect(countProbes() - asked).to.be.at.most(4);
+    });
+});
--- a/packages/oleandergap-membership/src/contactBook.ts
+++ b/packages/oleandergap-membership/src/contactBook.ts
@@ -17,6 +17,12 @@
 const MAX_ZONES = 64;
 /** Turns of a zone without any live contact after which its roster is read. */
 const TURNS_BEFORE_ROSTER = 2;
+/**
+ * A zone that was probed outside of its turn, as for a digest of its targets, within this part of the distance of two
+ * turns is not probed again: the answer would tell nothing new, and with services in use in all zones that is most of
+ * the probes.
+ */
+const FRESH_SHARE = 0.5;
 const SEQUENCE_LIMIT = 2 ** 32;
 
 interface KnownContact {
@@ -31,6 +37,7 @@
     readonly known: Map<NodeId, KnownContact>;
     /** Turns in a row in which no contact was live. */
     silentTurns: number;
+    probedAt: Milliseconds;
 }
 
 /** Contacts by zone. Only `poll` and `probeZone` send; all else is bookkeeping. */
@@ -94,7 +101,7 @@
         if (opened !== undefined || name === ownZone || book.size >= MAX_ZONES) {
             return opened;
         }
-        const created = { name, known: new Map<NodeId, KnownContact>(), silentTurns: 0 };
+        const created = { name, known: new Map<NodeId, KnownContact>(), silentTurns: 0, probedAt: 0 };
         book.set(name, created);
         return created;
     };
@@ -126,6 +133,7 @@
     const probe = (zone: ZoneContacts, now: Milliseconds): number => {
         const liveCount = listLive(zone).length;
         sequence = (sequence + 1) % SEQUENCE_LIMIT;
+        zone.probedAt = now;
         const body = { kind: "ContactProbe", sequence, wanted: liveCount < options.contactsPerZone } as const;
         const next = nextContact(zone);
         if (next !== undefined) {
@@ -163,7 +171,10 @@
         zoneTurn += 1;
         if (zone !== undefined) {
             readRosterIfSilent(zone, signal);
-            probe(zone, now);
+            const isFresh = now - zone.probedAt < options.contactProbePeriodMs * book.size * FRESH_SHARE;
+            if (!isFresh || listLive(zone).length === 0) {
+                probe(zone, now);
+            }
         }
     };
 
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -31,6 +31,8 @@
 export interface ControlPlaneDependencies {
     readonly options: NodeOptions;
     readonly clock: Clock;
+    /** For periodic work. */
+    readonly backgroundClock: Clock;
     readonly random: Random;
     readonly createPartLogger: (part: string) => Logger;
     readonly objectStore: ObjectStore;
@@ -54,7 +56,9 @@
 const DELTA_HISTORY = 256;
 
 export const createControlPlane = (dependencies: ControlPlaneDependencies): ControlPlane => {
-    const { options, clock, random, createPartLogger, objectStore, source, peerAccess, signal } = dependencies;
+    const {
+        options, clock, backgroundClock, random, createPartLogger, objectStore, source, peerAccess, signal,
+    } = dependencies;
     const { nodeId, zone, partners, listen, linkMegabitsPerSecond: width } = options;
     const self = {
         id: nodeId,
@@ -80,7 +84,7 @@
     });
     const membership = createMembership({
         self,
-        clock,
+        clock: backgroundClock,
         random,
         transport: spreadTransport.membershipTransport,
         logger: createPartLogger("membership"),
@@ -107,6 +111,7 @@
         peers,
         source,
         clock,
+        backgroundClock,
         random,
         logger: createPartLogger("distribution"),
         options: options.distribution,
@@ -126,7 +131,7 @@
         membership,
         fetchZone: createZoneFetcher({ clock, contactsOf: membership.contactsOf, peers }),
         zones: zonesOf,
-        clock,
+        clock: backgroundClock,
         random,
         options: options.targetDirectory,
     });
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -4,6 +4,7 @@
 import { createLogger } from "oleandergap-logger";
 import type { ReadFleetKeys } from "oleandergap-membership";
 import type { Clock, MemberTarget } from "oleandergap-types";
+import { createBackgroundClock } from "oleandergap-utils";
 import { ownAdapters, type NodeAdapters } from "./adapters.js";
 import { createAdminHandler } from "./admin/adminHandler.js";
 import { addNodeGauges } from "./admin/gauges.js";
@@ -37,6 +38,11 @@
 }
 
 const BASE_36 = 36;
+/**
+ * Distance of the turns in which a node does its periodic work: that of its most frequent duties, so that none comes
+ * more seldom. A version or a request never waits for such a turn.
+ */
+const BACKGROUND_STEP_MS = 100;
 
 export const createNode = ({
     options,
@@ -47,6 +53,7 @@
 }: NodeDependencies): Node => {
     // Each part of a node listens to this signal; their number is known and does not grow.
     setMaxListeners(0, signal);
+    const backgroundClock = createBackgroundClock(clock, BACKGROUND_STEP_MS);
     const random = Math.random;
     const bootId = `${Math.floor(clock.now()).toString(BASE_36)}${Math.floor(random() * 1e6).toString(BASE_36)}`;
     const readiness = createReadinessState();
@@ -55,7 +62,7 @@
     const { tableService, objectStore } = platform;
     const peerAccess = createPeerAccess({ listen: options.listen, readKeys });
     const shared = {
-        options, clock, random, createPartLogger: createLogger, ...platform, peerAccess, signal,
+        options, clock, backgroundClock, random, createPartLogger: createLogger, ...platform, peerAccess, signal,
     };
 
     const controlPlane = createControlPlane(shared);
@@ -89,6 +96,7 @@
     return createNodeLifecycle({
         options,
         clock,
+        backgroundClock,
         logger: createLogger("node"),
         readiness,
         controlPlane,
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -50,6 +50,8 @@
 export interface RequestPathDependencies {
     readonly options: NodeOptions;
     readonly clock: Clock;
+    /** For periodic work. */
+    readonly backgroundClock: Clock;
     readonly random: Random;
     readonly createPartLogger: (part: string) => Logger;
     readonly metrics: NodeMetrics;
@@ -176,11 +178,11 @@
 };
 
 const createSweeper = (
-    { options, clock, random, tableService, createPartLogger }: RequestPathDependencies,
+    { options, backgroundClock, random, tableService, createPartLogger }: RequestPathDependencies,
     services: OwnService["services"],
 ): ClaimSweeper => createClaimSweeper({
     tableService,
-    clock,
+    clock: backgroundClock,
     random,
     logger: createPartLogger("claims"),
     options: options.claims,
@@ -200,7 +202,7 @@
 };
 
 export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
-    const { options, clock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
+    const { options, clock, backgroundClock, random, createPartLogger, metrics, view, bootId, signal } = dependencies;
     const { requests } = options;
     let attempts = 0;
 
@@ -225,7 +227,7 @@
     });
     const claimSweeper = createSweeper(dependencies, services);
     const load = (): GateLoad | undefined => target.current()?.gate.load();
-    const tally = createRequestTally({ clock, logger: createPartLogger("request"), load });
+    const tally = createRequestTally({ clock: backgroundClock, logger: createPartLogger("request"), load });
     tally.start(signal);
     const unservedCalls = createUnservedCalls(clock);
     const serve = tallyGate(clock, tally, createServeAtGate({
--- a/packages/oleandergap-node/src/http/loopLag.ts
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -7,8 +7,15 @@
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 
-/** Distance of two looks. */
+/** Distance of two looks while requests come. */
 const LOOK_INTERVAL_MS: Milliseconds = 50;
+/**
+ * Distance of two looks while none come: that of a node's other periodic work, at the same moments, so that a look does
+ * not wake the process by itself.
+ */
+const QUIET_INTERVAL_MS: Milliseconds = 100;
+/** Requests come as long as the last one is not older than this. */
+const QUIET_AFTER_MS: Milliseconds = 1000;
 /** A look that comes this much too late shows that the process is behind. */
 const BEHIND_MS: Milliseconds = 30;
 /** How long one late look counts. */
@@ -42,6 +49,13 @@
     let behindUntil = Number.NEGATIVE_INFINITY;
     /** When the next look is due. */
     let dueAt = Number.POSITIVE_INFINITY;
+    let askedAt = Number.NEGATIVE_INFINITY;
+
+    /** Looks fall on multiples of their distance. */
+    const nextLook = (now: Milliseconds): Milliseconds => {
+        const interval = now - askedAt < QUIET_AFTER_MS ? LOOK_INTERVAL_MS : QUIET_INTERVAL_MS;
+        return (Math.floor(now / interval) + 1) * interval;
+    };
 
     /**
      * Asked at every look and for every request: after a pause, the event loop may read many requests before it comes
@@ -61,8 +75,8 @@
             onPause(now - dueAt);
         }
         if (!signal.aborted) {
-            dueAt = now + LOOK_INTERVAL_MS;
-            clock.after(LOOK_INTERVAL_MS, () => look(signal));
+            dueAt = nextLook(now);
+            clock.after(dueAt - now, () => look(signal));
         }
     };
 
@@ -74,7 +88,10 @@
 
     return {
         start: look,
-        catchUp: () => isBehind(clock.monotonic()) ? waitTurns() : undefined,
+        catchUp: () => {
+            askedAt = clock.monotonic();
+            return isBehind(askedAt) ? waitTurns() : undefined;
+        },
     };
 };
 
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -26,6 +26,8 @@
 export interface LifecycleDependencies {
     readonly options: NodeOptions;
     readonly clock: Clock;
+    /** For periodic work. */
+    readonly backgroundClock: Clock;
     readonly logger: Logger;
     readonly readiness: ReadinessState;
     readonly controlPlane: ControlPlane;
@@ -78,11 +80,11 @@
 };
 
 const sweepRepeatedly = (dependencies: LifecycleDependencies): void => {
-    const { clock, requestPath, signal } = dependencies;
+    const { backgroundClock, requestPath, signal } = dependencies;
     if (signal.aborted) {
         return;
     }
-    const cancel = clock.after(SWEEP_INTERVAL_MS, () => {
+    const cancel = backgroundClock.after(SWEEP_INTERVAL_MS, () => {
         signal.removeEventListener("abort", cancel);
         requestPath.pools.sweep();
         sweepRepeatedly(dependencies);
--- a/packages/oleandergap-utils/src/index.ts
+++ b/packages/oleandergap-utils/src/index.ts
@@ -1,4 +1,5 @@
 /** Clock, hashing, budgets and other small helpers. */
+export * from "./backgroundClock.js";
 export * from "./canonicalJson.js";
 export * from "./clock.js";
 export * from "./describeError.js";
