--- a/packages/oleandergap-node/src/profile/sampler.ts
+++ b/packages/oleandergap-node/src/profile/sampler.ts
@@ -31,7 +31,8 @@
             maps.set(file, readMap(file));
         }
         const map = maps.get(file);
-        if (map === undefined) {
+        // The function that wraps a bundle stands before its first column.
+        if (map === undefined || columnNumber < 0) {
             return { file, functionName };
         }
         // The engine counts lines from zero, the map from one.
