The tests' warnings of many listeners are traced: callers of two models share a signal

Cause: MaxListenersExceededWarning in the tests' output, thought to be a leak or a cost of each request. With the runtime's traces on, 14 come from objectives.test.ts and 3 from fairZones.test.ts, all from the signal that the models' own callers share; none from the product's code. Ruled out by the same run: a signal of a node, a request or a wait. Change: the two tests say so; checks and bounds stay.

--- a/packages/oleandergap-gate/src/__tests__/objectives.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/objectives.test.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { expect } from "chai";
 import { createManualClock, createSeededRandom } from "oleandergap-utils";
 import { createGate, defaultGateOptions, type GateOptions, type QueueOrder } from "../index.js";
@@ -53,6 +54,8 @@
     const limit = { concurrency: 100, queue: 500, timeoutMs: 1000, retryRatio: 0.1 };
     const gate = createGate({ clock, slots: SLOTS, limit, options });
     const { signal } = new AbortController();
+    // All callers of the model listen to it.
+    setMaxListeners(0, signal);
     const counts = { offered: 0, inTime: 0, late: 0, longestHeldMs: 0 };
 
     const ask = async (first = clock.monotonic(), returnsLeft = returns): Promise<void> => {
@@ -201,6 +204,7 @@
         const limit = { concurrency: 100, queue: 500, timeoutMs: 1000, retryRatio: 0.1 };
         const gate = createGate({ clock, slots: SLOTS, limit, options });
         const { signal } = new AbortController();
+        setMaxListeners(0, signal);
         const calls = { offered: 0, refused: 0 };
         const ask = async (kind: "call" | "lodge"): Promise<void> => {
             const now = clock.monotonic();
--- a/packages/oleandergap-routing/src/__tests__/fairZones.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/fairZones.test.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { expect } from "chai";
 import * as either from "fp-ts/lib/Either.js";
 import { createGate, defaultGateOptions, type Gate } from "oleandergap-gate";
@@ -42,6 +43,8 @@
     }));
     const counts = TARGETS_OF_ZONES.map(() => ({ asked: 0, answered: 0 }));
     const { signal } = new AbortController();
+    // All callers of the model listen to it.
+    setMaxListeners(0, signal);
 
     const ask = async (zoneIndex: number): Promise<void> => {
         const [zone, count] = TARGETS_OF_ZONES[zoneIndex] ?? ["", 1];
