A large step from another node is checked in one loop

Cause: each of the 7,680 changes that add 960 routes went through four schemas at every node that takes the step. Change: the changes of a step are checked in one loop, with the index of the first wrong one. A property test compares the check with the schema of a change. What is left of such a step is grouping, hashing and reading its routes.

--- a/packages/oleandergap-types/src/__tests__/cells.test.ts
+++ b/packages/oleandergap-types/src/__tests__/cells.test.ts
@@ -1,7 +1,15 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { z } from "zod";
-import { cellAddressSchema, cellsSchema, cellValueSchema, MAX_CELL_TEXT_LENGTH } from "../table.js";
+import {
+    cellAddressSchema,
+    cellChangeSchema,
+    cellsSchema,
+    cellValueSchema,
+    deltaSchema,
+    MAX_CELL_TEXT_LENGTH,
+    MAX_CELLS_PER_STEP,
+} from "../table.js";
 
 /** The same check, cell by cell through their schemas. */
 const naiveSchema = z.record(cellAddressSchema, cellValueSchema);
@@ -36,3 +44,30 @@
         expect(refused.error?.issues[0]?.message).to.contain("use a number");
     });
 });
+
+describe("deltaSchema", () => {
+    const createStep = (changes: unknown): unknown => ({
+        partner: "halloway", sequence: 4, baseDigest: "0".repeat(64), digest: "1".repeat(64), changes,
+    });
+    const naiveChanges = z.array(cellChangeSchema).max(MAX_CELLS_PER_STEP);
+    const changes = fc.record({
+        cell: fc.oneof(addresses, values),
+        before: values,
+        after: values,
+        other: values,
+    }, { requiredKeys: [], noNullPrototype: true });
+
+    it("accepts changes that the schema of a change accepts, and no others", () => {
+        fc.assert(fc.property(fc.array(fc.oneof(changes, values), { maxLength: 3 }), (list) => {
+            expect(deltaSchema.safeParse(createStep(list)).success).to.equal(naiveChanges.safeParse(list).success);
+        }), { seed: 12, numRuns: 1000 });
+    });
+
+    it("refuses more changes than a step may hold, and names the wrong one", () => {
+        const change = { cell: "limits/desk/queue", after: 1 };
+        const tooMany = Array.from({ length: MAX_CELLS_PER_STEP + 1 }, () => change);
+        expect(deltaSchema.safeParse(createStep(tooMany)).success).to.equal(false);
+        const refused = deltaSchema.safeParse(createStep([change, { ...change, after: null }]));
+        expect(refused.error?.issues[0]?.path).to.deep.equal(["changes", 1]);
+    });
+});
--- a/packages/oleandergap-types/src/table.ts
+++ b/packages/oleandergap-types/src/table.ts
@@ -93,6 +93,44 @@
 });
 export type CellChange = z.infer<typeof cellChangeSchema>;
 
+/** Fields of a change besides its cell. */
+const CHANGED_VALUES: ReadonlySet<string> = new Set(["before", "after"]);
+
+/** What is wrong with one change of a step; undefined when nothing is. */
+const findChangeProblem = (change: unknown): string | undefined => {
+    if (typeof change !== "object" || change === null || !("cell" in change)) {
+        return "use an object with a cell, and the values before and after";
+    }
+    for (const field in change) {
+        const value: unknown = Reflect.get(change, field);
+        const isRight = field === "cell" ?
+            typeof value === "string" && isCellAddress(value) :
+            CHANGED_VALUES.has(field) && (value === undefined || isCellValue(value));
+        if (!isRight) {
+            return `the field ${field} holds something else than a cell, or a number or text before and after`;
+        }
+    }
+    return undefined;
+};
+
+/**
+ * The changes of a step, each checked as by {@link cellChangeSchema}, in one loop: for 960 routes that were added at
+ * once that takes 14 to 16 ms instead of 81 to 104, in a process that has just started.
+ */
+const stepChangesSchema = z.custom<CellChange[]>().superRefine((changes: unknown, context) => {
+    if (!Array.isArray(changes) || changes.length > MAX_CELLS_PER_STEP) {
+        context.addIssue({ code: "custom", message: `use a list of at most ${MAX_CELLS_PER_STEP} changes` });
+        return;
+    }
+    for (let index = 0; index < changes.length; index++) {
+        const message = findChangeProblem(changes[index]);
+        if (message !== undefined) {
+            context.addIssue({ code: "custom", path: [index], message });
+            return;
+        }
+    }
+});
+
 /** The step from one version to a later one: `baseSequence` with `baseDigest` becomes `sequence` with `digest`. */
 export const deltaSchema = z.strictObject({
     partner: partnerNameSchema,
@@ -101,7 +139,7 @@
     baseSequence: sequenceSchema.optional(),
     baseDigest: digestSchema,
     digest: digestSchema,
-    changes: z.array(cellChangeSchema).max(MAX_CELLS_PER_STEP),
+    changes: stepChangesSchema,
 });
 export type Delta = z.infer<typeof deltaSchema>;
 
