--- a/packages/oleandergap-node/src/profile/processorProfile.ts
+++ b/packages/oleandergap-node/src/profile/processorProfile.ts
@@ -64,8 +64,13 @@
     };
 };
 
-const roundTimes = (times: Iterable<readonly [string, Milliseconds]>): string =>
-    JSON.stringify(Object.fromEntries([...times].map(([name, time]) => [name, Math.round(time * 10) / 10])));
+/** Times are told in tenths of a millisecond; samples are hardly finer. */
+const TOLD_PARTS = 10;
+
+/** As text, since the fields of a line are plain values. */
+const formatTimes = (times: Iterable<readonly [string, Milliseconds]>): string => JSON.stringify(
+    Object.fromEntries([...times].map(([name, time]) => [name, Math.round(time * TOLD_PARTS) / TOLD_PARTS])),
+);
 
 /** Writes lines until `signal` aborts. */
 export const startProcessorProfile = (options: ProcessorProfileOptions, signal: AbortSignal): void => {
@@ -83,8 +88,8 @@
             wakeUps: usage.wakeUps - before.wakeUps,
             reads: usage.reads - before.reads,
             writes: usage.writes - before.writes,
-            parts: roundTimes(sumProfile(profile)),
-            functions: roundTimes(listCostlyFunctions(profile, NAMED_FUNCTIONS)),
+            parts: formatTimes(sumProfile(profile)),
+            functions: formatTimes(listCostlyFunctions(profile, NAMED_FUNCTIONS)),
         });
     };
 
