--- a/packages/oleandergap-membership/src/rejoiner.ts
+++ b/packages/oleandergap-membership/src/rejoiner.ts
@@ -70,7 +70,7 @@
 
     /**
      * Where VMs are numbered in a row, those beside this one nearly always belong to its zone and are there: asked
-     * first, they spare the platform two reads a start (97 own rosters read by 36 nodes, 10 with it; model in memory).
+     * first, they spare the platform two reads a start (97 reads of it by 36 nodes, 15 with it; model in memory).
      */
     const askNearest = (now: Milliseconds): void => {
         attempts += 1;
