Looks for a slow event loop keep their distance while requests come

Cause: since looks fall on fixed moments, one that came late was followed by the next a moment later, which a turn of 40 ms made late as well; a busy node then counted as behind nearly always, and each request waited two turns before it was handed on. Change: while requests come, the next look is due a whole interval after the last; only quiet ones fall on the moments of the periodic work. Test first failed (cutAnswers.test.ts: behind at 19 of 20 requests instead of none, with looks 20 ms late).

--- a/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
+++ b/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
@@ -92,6 +92,29 @@
         life.abort();
     });
 
+    /*
+     * Symptom: in a burst, requests are held up at nodes that are busy, but read their sockets in time.
+     * Sequence: each turn of the event loop takes 40 ms; a look comes late, and the next one is due a moment later.
+     * Cause: looks fell on fixed moments; two of them followed each other within one turn, and the second was late.
+     */
+    it("looks a whole interval after the last look while requests come", async () => {
+        const clock = createManualClock(1_000_000);
+        const lag = createLoopLag({ clock, turn: async () => undefined, onPause: () => undefined });
+        const life = new AbortController();
+        lag.start(life.signal);
+        lag.catchUp();
+        // From the first quiet look on, one look each 70 ms: 20 ms after it is due.
+        await clock.advance(100);
+        let behind = 0;
+        for (let turn = 0; turn < 20; turn++) {
+            clock.freeze(69);
+            behind += lag.catchUp() === undefined ? 0 : 1;
+            await clock.advance(1);
+        }
+        life.abort();
+        expect(behind).to.equal(0);
+    });
+
     /*
      * Symptom: a request reaches its target over a second after its caller left.
      * Sequence: the process stands still; the caller's request and its hanging up arrive; the process goes on and reads
--- a/packages/oleandergap-node/src/http/loopLag.ts
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -51,11 +51,14 @@
     let dueAt = Number.POSITIVE_INFINITY;
     let askedAt = Number.NEGATIVE_INFINITY;
 
-    /** Looks fall on multiples of their distance. */
-    const nextLook = (now: Milliseconds): Milliseconds => {
-        const interval = now - askedAt < QUIET_AFTER_MS ? LOOK_INTERVAL_MS : QUIET_INTERVAL_MS;
-        return (Math.floor(now / interval) + 1) * interval;
-    };
+    /**
+     * Quiet looks fall on multiples of their distance. Under load a look right after a late one would find the process
+     * behind more often than it is.
+     */
+    const nextLook = (now: Milliseconds): Milliseconds =>
+        now - askedAt < QUIET_AFTER_MS ?
+            now + LOOK_INTERVAL_MS :
+            (Math.floor(now / QUIET_INTERVAL_MS) + 1) * QUIET_INTERVAL_MS;
 
     /**
      * Asked at every look and for every request: after a pause, the event loop may read many requests before it comes
