--- a/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
+++ b/packages/oleandergap-node/src/__tests__/cutAnswers.test.ts
@@ -102,7 +102,7 @@
         const lag = createLoopLag({ clock, turn: async () => undefined, onPause: () => undefined });
         const life = new AbortController();
         lag.start(life.signal);
-        lag.catchUp();
+        void lag.catchUp();
         // From the first quiet look on, one look each 70 ms: 20 ms after it is due.
         await clock.advance(100);
         let behind = 0;
