Sight: how a failed request arrived, and which gates were silent

What callers saw: requests were sent on after their callers had left, and a run was given up that was at work. The logs could not tell whether such a request was the first one of its connection and how long it waited in the node, nor that a gate was silent, whether signs had come before, and whether this node itself was behind. No decision changes.

--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -88,6 +88,7 @@
             connectionsPerNode: 8,
             gateSilenceMs: 500,
             bodySilenceMs: 30_000,
+            logSilence: () => undefined,
         }),
         closed,
         callerAt: () => undefined,
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -10,7 +10,7 @@
 import type { ServeAtGate } from "../gate/gateRequest.js";
 import { createServeAtGate } from "../gate/serveAtGate.js";
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
-import { startListener, type HandleRequest, type Listener } from "../http/listener.js";
+import { startListener, type HandleArrival, type Listener } from "../http/listener.js";
 import { ownDialects } from "../http/dialect.js";
 import { createTargetKeeper, type TargetKeeper } from "../target/targetKeeper.js";
 
@@ -66,7 +66,7 @@
 export const startTestListener = async (
     cleanup: Cleanup,
     clock: Clock,
-    handle: HandleRequest,
+    handle: HandleArrival,
 ): Promise<Listener> => {
     const listener = await startListener({
         name: "test", address: LOOPBACK, port: 0, maxConnections: 1000, clock, handle,
--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -6,7 +6,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Readiness } from "./admin/readiness.js";
 import { ownDialects, type Dialects } from "./http/dialect.js";
-import type { HandleRequest } from "./http/listener.js";
+import type { HandleArrival } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
 import type { TargetKeeper } from "./target/targetKeeper.js";
 
@@ -39,7 +39,7 @@
     readonly name: string;
     readonly address: string;
     readonly port: number;
-    readonly handle: HandleRequest;
+    readonly handle: HandleArrival;
 }
 
 /** The surroundings of one node. */
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -34,6 +34,7 @@
 import { createCallerPatience } from "./gateway/callerPatience.js";
 import { createGatewayHandler } from "./gateway/gatewayHandler.js";
 import { createSendToGate } from "./gateway/sendToGate.js";
+import { createSilenceLog } from "./gateway/silenceLog.js";
 import { createOwnerRouting, listOwners } from "./gateway/ownerRouting.js";
 import { createRequestLog, type LogFailedRequest } from "./gateway/requestLog.js";
 import { createServiceChooser } from "./gateway/routeTable.js";
@@ -43,7 +44,7 @@
 import { startLoopLag } from "./http/loopLag.js";
 import { isFailedEnd, toRequestEnd, type RequestEnd } from "./http/requestEnd.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
-import type { HandleRequest } from "./http/listener.js";
+import type { HandleArrival, HandleRequest } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
 import { createTargetKeeper, type TargetKeeper } from "./target/targetKeeper.js";
 
@@ -77,7 +78,7 @@
     /** Requests of other nodes. */
     readonly handleGate: HandleRequest;
     /** Requests of callers. */
-    readonly handleGateway: HandleRequest;
+    readonly handleGateway: HandleArrival;
     /** Gives every caller whose request is under way its final answer. */
     readonly giveUpAll: () => void;
     /** Whether another target of the own target's service takes requests, or there is no own target. */
@@ -288,6 +289,7 @@
             connectionsPerNode: requests.connectionsPerNode,
             gateSilenceMs: requests.gateSilenceMs,
             bodySilenceMs: requests.bodySilenceMs,
+            logSilence: createSilenceLog(clock, createPartLogger("gateway")),
         }),
         closed: (callingService) =>
             findClosure(
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -15,6 +15,7 @@
 import type { Closure } from "../admin/readiness.js";
 import type { CallerSignals } from "../http/callerSignal.js";
 import type { CallerDialect } from "../http/dialect.js";
+import type { RequestArrival } from "../http/listener.js";
 import { HTTP_STATUS } from "../http/refusal.js";
 import { canSendAgain, receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
 import type { RequestEnd } from "../http/requestEnd.js";
@@ -57,6 +58,7 @@
 interface Passage {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
+    readonly arrival: RequestArrival;
     readonly startedAt: Milliseconds;
     /** The caller's own id of its request. */
     readonly requestId: string | undefined;
@@ -99,6 +101,8 @@
             caller: passage.caller,
             failure,
             retryAfterMs,
+            isFirst: passage.arrival.isFirst,
+            queuedMs: passage.startedAt - passage.arrival.receivedAt,
             durationMs: now - passage.startedAt,
             leftMs: passage.deadline - now,
             tried,
@@ -171,10 +175,11 @@
         await route(passage, caller.right, body.right);
     };
 
-    return (request: IncomingMessage, response: ServerResponse): void => {
+    return (request: IncomingMessage, response: ServerResponse, arrival: RequestArrival): void => {
         const passage: Passage = {
             request,
             response,
+            arrival,
             startedAt: clock.monotonic(),
             requestId: dialect.readRequestId(request),
             callingService: dependencies.callerAt(request.socket.remoteAddress),
--- a/packages/oleandergap-node/src/gateway/requestLog.ts
+++ b/packages/oleandergap-node/src/gateway/requestLog.ts
@@ -18,7 +18,11 @@
     readonly caller: CallerRequest | undefined;
     readonly failure: RequestFailure;
     readonly retryAfterMs: Milliseconds | undefined;
-    /** Since its head arrived. */
+    /** The first request of its connection. */
+    readonly isFirst: boolean;
+    /** Between the moment at which its head was read and its start: the turns that others took. */
+    readonly queuedMs: Milliseconds;
+    /** Since its start. */
     readonly durationMs: Milliseconds;
     /** Until its deadline; negative when that has passed. */
     readonly leftMs: Milliseconds;
@@ -41,7 +45,9 @@
     .map(({ nodeId, failure }) => `${nodeId}:${failure === undefined ? "open" : reasonOfFailure(failure)}`)
     .join(" ");
 
-const describe = ({ id, caller, failure, retryAfterMs, durationMs, leftMs, tried }: FailedRequest): LogContext => ({
+const describe = ({
+    id, caller, failure, retryAfterMs, isFirst, queuedMs, durationMs, leftMs, tried,
+}: FailedRequest): LogContext => ({
     id,
     route: caller?.kind,
     service: caller?.service.service,
@@ -50,6 +56,8 @@
     reason: reasonOfFailure(failure),
     detail: "detail" in failure ? failure.detail : undefined,
     tried: describeTried(tried),
+    isFirst,
+    queuedMs: Math.round(queuedMs),
     durationMs: Math.round(durationMs),
     leftMs: Number.isFinite(leftMs) ? Math.round(leftMs) : undefined,
     retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -33,6 +33,7 @@
 import type { RequestBody } from "../http/requestBody.js";
 import { sendWatched } from "../http/watchedExchange.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { LogSilentGate } from "./silenceLog.js";
 
 export interface SendToGateDependencies {
     readonly clock: Clock;
@@ -45,6 +46,7 @@
     readonly connectionsPerNode: number;
     readonly gateSilenceMs: Milliseconds;
     readonly bodySilenceMs: Milliseconds;
+    readonly logSilence: LogSilentGate;
 }
 
 export interface GateAttempt {
@@ -163,7 +165,11 @@
             answerIdOf: (requestId) => requestId,
             headersOf: headersOf(attempt),
             onSign: progress.heard,
-            onSilence: progress.silent,
+            onSilence: (silence) => {
+                const wasSilent = progress.silent();
+                dependencies.logSilence({ nodeId: target.nodeId, wasSilent, isProbe: progress.isProbe, ...silence });
+                return wasSilent;
+            },
         });
         return either.isLeft(outcome) ?
             { outcome, load: undefined, retriedBelow: false, isStarved: false } :
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -22,7 +22,17 @@
 const TCP_KEEP_ALIVE_DELAY_MS = 15_000;
 const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 
+/** How a request came to be handled. */
+export interface RequestArrival {
+    /** Monotonic time at which its head was read. */
+    readonly receivedAt: Milliseconds;
+    /** The first request of its connection. */
+    readonly isFirst: boolean;
+}
+
 export type HandleRequest = (request: IncomingMessage, response: ServerResponse) => void;
+/** Like `HandleRequest`, for who wants to know of the arrival as well. */
+export type HandleArrival = (request: IncomingMessage, response: ServerResponse, arrival: RequestArrival) => void;
 
 export interface ListenerOptions {
     /** Named in errors, for example `gateway`. */
@@ -32,7 +42,7 @@
     readonly port: number;
     readonly maxConnections: number;
     readonly clock: Clock;
-    readonly handle: HandleRequest;
+    readonly handle: HandleArrival;
     /** Decides when a request that was received is handled; at once without it. */
     readonly turns?: Pick<TurnQueue, "run" | "runFirst"> | undefined;
 }
@@ -110,7 +120,7 @@
     let draining = false;
     let onEmpty: (() => void) | undefined;
 
-    const handle: HandleRequest = (request, response) => {
+    const handle = (request: IncomingMessage, response: ServerResponse): void => {
         inFlight++;
         response.once("close", () => {
             inFlight--;
@@ -121,9 +131,10 @@
         if (draining) {
             response.setHeader("connection", "close");
         }
-        const run = knownSockets.has(request.socket) ? turns.run : turns.runFirst;
+        const arrival = { receivedAt: options.clock.monotonic(), isFirst: !knownSockets.has(request.socket) };
+        const run = arrival.isFirst ? turns.runFirst : turns.run;
         knownSockets.add(request.socket);
-        run(() => options.handle(request, response));
+        run(() => options.handle(request, response, arrival));
     };
 
     const server = createServer({
--- a/packages/oleandergap-node/src/http/progressWatch.ts
+++ b/packages/oleandergap-node/src/http/progressWatch.ts
@@ -8,8 +8,11 @@
     /** Longest time without a sign; undefined when only the deadline counts. */
     readonly silenceMs: Milliseconds | undefined;
     readonly onDeadline: () => void;
-    /** Called once; from then on only the deadline counts. */
-    readonly onSilence: () => void;
+    /**
+     * Called once; from then on only the deadline counts. `lateMs` tells how much later than due this process noticed:
+     * it was behind with its events for about as long.
+     */
+    readonly onSilence: (lateMs: Milliseconds) => void;
 }
 
 export interface ProgressWatch {
@@ -42,8 +45,9 @@
             return;
         }
         if (now >= silenceEnd()) {
+            const lateMs = now - silenceEnd();
             watchesSilence = false;
-            onSilence();
+            onSilence(lateMs);
         }
         arm(now);
     };
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -44,7 +44,15 @@
     /** A sign of life came. */
     readonly onSign?: () => void;
     /** Told each silence at once; true if another try at the same target is pointless. */
-    readonly onSilence?: () => boolean;
+    readonly onSilence?: (silence: Silence) => boolean;
+}
+
+/** What is known when the other side has given no sign for too long. */
+export interface Silence {
+    /** Signs that came before, in this try. */
+    readonly signs: number;
+    /** See `ProgressWatchOptions.onSilence`. */
+    readonly lateMs: Milliseconds;
 }
 
 type Outcome = Either<RequestFailure, Answer>;
@@ -76,6 +84,7 @@
     const { signal } = request;
     let ending: Ending = "Open";
     let isPointless = false;
+    let signs = 0;
 
     const end = (reason: Exclude<Ending, "Open">): void => {
         if (ending === "Open") {
@@ -84,9 +93,9 @@
         }
     };
     const onAbort = (): void => end("Cancelled");
-    const onSilence = (): void => {
+    const onSilence = (lateMs: Milliseconds): void => {
         request.renewConnections();
-        isPointless = request.onSilence?.() ?? false;
+        isPointless = request.onSilence?.({ signs, lateMs }) ?? false;
         if (endsAtSilence) {
             end("Silent");
         }
@@ -113,6 +122,7 @@
         bodySilenceMs: request.bodySilenceMs,
         onInformation: () => {
             watch.heard();
+            signs += 1;
             request.onSign?.();
         },
     });
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -3,12 +3,12 @@
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import type { Clock } from "oleandergap-types";
 import type { ListenerPlan } from "./adapters.js";
-import { startListener, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
+import { startListener, type HandleArrival, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
 import { createTurnQueue, type TurnQueue } from "./http/turnQueue.js";
 import type { NodeOptions } from "./options.js";
 
 export interface NodeHandlers {
-    readonly gateway: HandleRequest;
+    readonly gateway: HandleArrival;
     readonly gate: HandleRequest;
     readonly control: HandleRequest;
     readonly admin: HandleRequest;
