Two failing tests: a silent gate's run is cut, and its caller told that it has not run

What callers saw: a file view ran for 0.24 s, was cut, and its caller was told 503. The tests let a gate run the first try without a sign of life and refuse the second one. The first test asks for the truth: the request may have run, but the gateway says notRun, as the refusal comes as an answer of the gate. The second lets the first try answer after 0.8 s: it is cut before.

--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/silentGates.test.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import { createSystemClock } from "oleandergap-utils";
+import { createMember, HOST, startGateway } from "./gatewaySupport.js";
+import { call, createCleanup, startTarget, type Received } from "./support.js";
+
+/** Longer than the gateway of these tests waits for a sign, shorter than twice that. */
+const SLOW_MS = 800;
+const HEADERS = { host: HOST, "oleandergap-timeout-ms": "2000" };
+
+describe("a gate that gives no sign of life while its target works", () => {
+    const cleanup = createCleanup();
+    const clock = createSystemClock();
+
+    afterEach(() => cleanup.run());
+
+    interface Gate {
+        readonly port: number;
+        /** Tries that arrived. */
+        readonly tries: () => number;
+        /** Runs that were cut, since the connection was closed before their answer. */
+        readonly cuts: () => number;
+    }
+
+    /** Runs the first try without any sign and answers it after `answerAfterMs`, if ever; refuses all others. */
+    const startSilentGate = async (answerAfterMs: number | undefined): Promise<Gate> => {
+        let tries = 0;
+        let cuts = 0;
+        const port = await startTarget(cleanup.add, (request, response) => {
+            tries += 1;
+            const id = { "oleandergap-request-id": String(request.headers["oleandergap-request-id"]) };
+            if (tries > 1) {
+                response.writeHead(504, {
+                    ...id, "oleandergap-verdict": "notRun", "oleandergap-reason": "DeadlineTooShort",
+                });
+                response.end();
+                return;
+            }
+            response.once("close", () => {
+                cuts += response.writableFinished ? 0 : 1;
+            });
+            if (answerAfterMs !== undefined) {
+                setTimeout(() => {
+                    response.writeHead(200, { ...id, "oleandergap-verdict": "ran" });
+                    response.end("answer");
+                }, answerAfterMs);
+            }
+        });
+        return { port, tries: () => tries, cuts: () => cuts };
+    };
+
+    const read = async (gate: Gate): Promise<Received> => {
+        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)] });
+        return call({ port: gateway.port, headers: HEADERS });
+    };
+
+    /*
+     * Symptom: a caller is told 503, a promise that its request has not run and will not. A target has run it.
+     * Sequence: a gate gives no sign for as long as a gateway waits; the request is sent to it once more, and refused.
+     */
+    it("is not said to have run nothing because it refused the second try", async () => {
+        const gate = await startSilentGate(undefined);
+        const answer = await read(gate);
+        expect(gate.tries()).to.equal(2);
+        expect(answer.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
+    });
+
+    /*
+     * Symptom: the run of a read is cut, and its caller gets an answer of the system's own.
+     * Sequence: a node is behind with its events, or a link is full, so that no sign of life arrives in time, while the
+     *   target works on the request.
+     */
+    it("delivers the answer of a run that goes on", async () => {
+        const gate = await startSilentGate(SLOW_MS);
+        const answer = await read(gate);
+        expect(answer.statusCode).to.equal(200);
+        expect(answer.body.toString()).to.equal("answer");
+        expect(gate.cuts()).to.equal(0);
+    });
+});
