The refusal of a second try does not hide the fate of the first

Cause: after a silence a request is sent once more. A refusal of that second try comes as an answer of the other side, and only failures of this node's own were weighed against the first try, so that the refusal became the fate of the request. Change: whoever sends says which answers are failures; a second try that has surely not run gives way to the first one's fate. Before: notRun at the gateway and at the gate (both tests fail); after: mayHaveRun. Why it holds: every answer of the second try is judged by the same function that reads it afterwards.

--- a/packages/oleandergap-node/src/__tests__/silentGates.test.ts
+++ b/packages/oleandergap-node/src/__tests__/silentGates.test.ts
@@ -1,7 +1,9 @@
 import { expect } from "chai";
 import { createSystemClock } from "oleandergap-utils";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
-import { call, createCleanup, startTarget, type Received } from "./support.js";
+import {
+    call, createAnnouncement, createCleanup, gateHeaders, startGate, startTarget, type Received,
+} from "./support.js";
 
 /** Longer than the gateway of these tests waits for a sign, shorter than twice that. */
 const SLOW_MS = 800;
@@ -56,6 +58,10 @@
     /*
      * Symptom: a caller is told 503, a promise that its request has not run and will not. A target has run it.
      * Sequence: a gate gives no sign for as long as a gateway waits; the request is sent to it once more, and refused.
+     * Cause: the gate's refusal of the second try arrives as an answer, and only failures of this node's own were weighed
+     *   against the fate of the first try.
+     * Evidence: a run was cut 1.2 s after its request can have been handed on at the earliest, which is the longest silence;
+     *   0.17 s later, the time of one more question, the caller was told that it had not run.
      */
     it("is not said to have run nothing because it refused the second try", async () => {
         const gate = await startSilentGate(undefined);
@@ -64,6 +70,30 @@
         expect(answer.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
     });
 
+    /*
+     * The same between a gate and its target: the target is silent at the first try, and sheds the second one.
+     */
+    it("is not said to have run nothing because its target refused the second try", async () => {
+        let requests = 0;
+        const target = await startTarget(cleanup.add, (_request, response) => {
+            requests += 1;
+            if (requests === 1) {
+                response.end("answer");
+            }
+            if (requests > 2) {
+                response.writeHead(503, { "oleandergap-verdict": "notRun" });
+                response.end();
+            }
+        });
+        const gate = await startGate(cleanup.add, { clock });
+        gate.keeper.announce(createAnnouncement(target));
+        const headers = gateHeaders({ "oleandergap-timeout-ms": "4000" });
+        await call({ port: gate.port, headers });
+        const answer = await call({ port: gate.port, headers });
+        expect(requests).to.equal(3);
+        expect(answer.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
+    });
+
     /*
      * Symptom: the run of a read is cut, and its caller gets an answer of the system's own.
      * Sequence: a node is behind with its events, or a link is full, so that no sign of life arrives in time, while the
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -115,6 +115,7 @@
                 tries++;
                 return `${request.requestId}.${tries}`;
             },
+            readFailure: ({ statusCode, headers }) => dialect.readRefusal(statusCode, headers),
             answerIdHeader: dialect.answerIdHeader,
             answerIdOf: (tryId) => dialect.expectAnswerId(describe(tryId)),
             headersOf: (tryId) => [
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -161,6 +161,7 @@
             takeDispatcher: () => pools.take(target.address, target.gatePort, dependencies.connectionsPerNode),
             renewConnections: () => pools.renew(target.address, target.gatePort),
             nextRequestId: dependencies.nextAttemptId,
+            readFailure: ({ headers }) => readFailure(headers),
             answerIdHeader: REQUEST_ID_HEADER,
             answerIdOf: (requestId) => requestId,
             headersOf: headersOf(attempt),
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -10,7 +10,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
 import type { Dispatcher } from "undici";
-import type { Answer } from "./answer.js";
+import { discardBody, type Answer } from "./answer.js";
 import { startExchange, type Exchange } from "./exchange.js";
 import { startProgressWatch, type ProgressWatch } from "./progressWatch.js";
 import { canSendAgain, type RequestBody } from "./requestBody.js";
@@ -35,6 +35,8 @@
     readonly answerIdHeader: string;
     /** The id that the answer to a try has to carry; undefined when any will do. */
     readonly answerIdOf: (requestId: string) => string | undefined;
+    /** The failure that an answer stands for, such as a refusal; undefined when it is the answer to the request. */
+    readonly readFailure: (answer: Answer) => RequestFailure | undefined;
     /** Monotonic time at which the request is given up unless an answer has begun. */
     readonly deadline: Milliseconds;
     readonly signal: AbortSignal;
@@ -137,7 +139,11 @@
     return { outcome: nameReason(outcome, ending), ending, isPointless };
 };
 
-const isSurelyNotRun = (outcome: Outcome): boolean => either.isLeft(outcome) && outcome.left.verdict === "notRun";
+/** A refusal of the other side comes as an answer; taken for one, it would promise too much of an earlier try. */
+const isSurelyNotRun = (outcome: Outcome, { readFailure }: WatchedRequest): boolean => {
+    const failure = either.isLeft(outcome) ? outcome.left : readFailure(outcome.right);
+    return failure?.verdict === "notRun";
+};
 
 /** Sends `request`; twice at most, and only if it is idempotent. Never rejects. */
 export const sendWatched = async (clock: Clock, request: WatchedRequest): Promise<Outcome> => {
@@ -148,5 +154,11 @@
     }
     const second = await tryOnce(clock, request, true);
     // The first try may still run, whatever became of the second one: a refusal of that alone promises too much.
-    return isSurelyNotRun(second.outcome) ? first.outcome : second.outcome;
+    if (!isSurelyNotRun(second.outcome, request)) {
+        return second.outcome;
+    }
+    if (either.isRight(second.outcome)) {
+        discardBody(second.outcome.right);
+    }
+    return first.outcome;
 };
