A silent try stays open while the request is tried again

What callers saw: a read that a target worked on was cut, and its caller got an answer of the system's own. Cause: the first silence of a gate closed the connection. A silence says that a connection may be lost; signs of life are late as well when a node is behind with its events or a link is full. Ruled out: the stop itself (the cut came 164 ms before the signal). Change: the first try of an idempotent request stays open beside the second one until it is silent twice in a row; where the target was known to be silent, it stays open beside attempts at other targets, and its answer counts if it comes first or nobody else gives one. Answers that nobody wants are given up. The attempt itself moves to a module of its own (tryTarget). Times until another target is tried are as before; a request that is refused everywhere else waits for one more silence (1.2 s on the platform) instead of failing at once.

--- a/packages/oleandergap-node/src/__tests__/silentGates.test.ts
+++ b/packages/oleandergap-node/src/__tests__/silentGates.test.ts
@@ -23,14 +23,14 @@
         readonly cuts: () => number;
     }
 
-    /** Runs the first try without any sign and answers it after `answerAfterMs`, if ever; refuses all others. */
-    const startSilentGate = async (answerAfterMs: number | undefined): Promise<Gate> => {
+    /** Runs the first tries without any sign and answers them after `answerAfterMs`, if ever; refuses all others. */
+    const startSilentGate = async (answerAfterMs: number | undefined, runs = 1): Promise<Gate> => {
         let tries = 0;
         let cuts = 0;
         const port = await startTarget(cleanup.add, (request, response) => {
             tries += 1;
             const id = { "oleandergap-request-id": String(request.headers["oleandergap-request-id"]) };
-            if (tries > 1) {
+            if (tries > runs) {
                 response.writeHead(504, {
                     ...id, "oleandergap-verdict": "notRun", "oleandergap-reason": "DeadlineTooShort",
                 });
@@ -58,9 +58,9 @@
     /*
      * Symptom: a caller is told 503, a promise that its request has not run and will not. A target has run it.
      * Sequence: a gate gives no sign for as long as a gateway waits; the request is sent to it once more, and refused.
-     * Cause: the gate's refusal of the second try arrives as an answer, and only failures of this node's own were weighed
-     *   against the fate of the first try.
-     * Evidence: a run was cut 1.2 s after its request can have been handed on at the earliest, which is the longest silence;
+     * Cause: the gate's refusal of the second try arrives as an answer, and only failures of this node's own were
+     *   weighed against the fate of the first try.
+     * Evidence: a run was cut 1.2 s after its request can have been handed on at the earliest, the longest silence;
      *   0.17 s later, the time of one more question, the caller was told that it had not run.
      */
     it("is not said to have run nothing because it refused the second try", async () => {
@@ -98,6 +98,10 @@
      * Symptom: the run of a read is cut, and its caller gets an answer of the system's own.
      * Sequence: a node is behind with its events, or a link is full, so that no sign of life arrives in time, while the
      *   target works on the request.
+     * Cause: the first silence closed the connection and with it the run, although a silence only says that a
+     *   connection may be lost.
+     * Evidence: the run was cut 1.2 s after its request can have been handed on at the earliest, the longest silence,
+     *   and before the signal to stop that came at the same time.
      */
     it("delivers the answer of a run that goes on", async () => {
         const gate = await startSilentGate(SLOW_MS);
@@ -106,4 +110,12 @@
         expect(answer.body.toString()).to.equal("answer");
         expect(gate.cuts()).to.equal(0);
     });
+
+    it("delivers the answers of all runs that go on when it is known to be silent", async () => {
+        const gate = await startSilentGate(SLOW_MS, 2);
+        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)] });
+        const answers = await Promise.all([1, 2].map(() => call({ port: gateway.port, headers: HEADERS })));
+        expect(answers.map(({ statusCode }) => statusCode)).to.deep.equal([200, 200]);
+        expect(gate.cuts()).to.equal(0);
+    });
 });
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -98,7 +98,7 @@
             instanceId,
         });
         const startedAt = clock.monotonic();
-        const outcome = await sendWatched(clock, {
+        const { outcome } = await sendWatched(clock, {
             method: request.method,
             path: request.path,
             body: request.body,
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -13,6 +13,7 @@
     Verdict,
 } from "oleandergap-types";
 import type { Closure } from "../admin/readiness.js";
+import { discardBody } from "../http/answer.js";
 import type { CallerSignals } from "../http/callerSignal.js";
 import type { CallerDialect } from "../http/dialect.js";
 import type { RequestArrival } from "../http/listener.js";
@@ -132,7 +133,8 @@
             isReturning: caller.isReturning,
             signal,
         }, (target, context) =>
-            dependencies.send(target, { request: caller, caller: passage.callingService, body, ...context }));
+            dependencies.send(target, { request: caller, caller: passage.callingService, body, ...context }),
+        discardBody);
 
         if (either.isLeft(routed)) {
             passage.isRetried = routed.left.retriedBelow;
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -2,7 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
 import type { TargetMember } from "oleandergap-membership";
-import type { AttemptProgress } from "oleandergap-routing";
+import type { AttemptProgress, AttemptResult, OpenAttempt } from "oleandergap-routing";
 import {
     formatServiceReference,
     LOAD_HEADER,
@@ -31,7 +31,7 @@
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
 import type { RequestBody } from "../http/requestBody.js";
-import { sendWatched } from "../http/watchedExchange.js";
+import { sendWatched, type OpenTry } from "../http/watchedExchange.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { LogSilentGate } from "./silenceLog.js";
 
@@ -59,15 +59,8 @@
     readonly progress: AttemptProgress;
 }
 
-export interface GateOutcome {
-    readonly outcome: Either<RequestFailure, Answer>;
-    /** Load of the gate when it answered; undefined when it did not. */
-    readonly load: GateLoad | undefined;
-    /** A hop below has already retried; nobody above it may. */
-    readonly retriedBelow: boolean;
-    /** The target answered with a failure because a call that it made was not served. */
-    readonly isStarved: boolean;
-}
+/** What a gate made of an attempt. */
+export type GateOutcome = AttemptResult<Answer>;
 
 export type SendToGate = (target: TargetMember, attempt: GateAttempt) => Promise<GateOutcome>;
 
@@ -98,6 +91,27 @@
     }),
 });
 
+const watchResult = (result: GateOutcome, attempt: GateAttempt): GateOutcome =>
+    either.isLeft(result.outcome) ?
+        result :
+        { ...result, outcome: either.right(watchBody(result.outcome.right, attempt)) };
+
+const readOutcome = (outcome: Either<RequestFailure, Answer>, attempt: GateAttempt): GateOutcome =>
+    either.isLeft(outcome) ?
+        { outcome, load: undefined, retriedBelow: false, isStarved: false } :
+        watchResult(readGateAnswer(outcome.right), attempt);
+
+/** An answer after all ends the silence of its gate. */
+const readOpenTry = ({ outcome, cancel }: OpenTry, attempt: GateAttempt): OpenAttempt<Answer> => ({
+    result: outcome.then((ended) => {
+        if (either.isRight(ended)) {
+            attempt.progress.heard();
+        }
+        return readOutcome(ended, attempt);
+    }),
+    cancel,
+});
+
 export const createSendToGate = (dependencies: SendToGateDependencies): SendToGate => {
     const { clock, pools } = dependencies;
 
@@ -147,7 +161,7 @@
     const sendToNode = async (target: TargetMember, attempt: GateAttempt): Promise<GateOutcome> => {
         const { request, body, deadline, signal, progress } = attempt;
         progress.expectSigns();
-        const outcome = await sendWatched(clock, {
+        const { outcome, open } = await sendWatched(clock, {
             method: request.method,
             path: request.path,
             body,
@@ -172,17 +186,12 @@
                 return wasSilent;
             },
         });
-        return either.isLeft(outcome) ?
-            { outcome, load: undefined, retriedBelow: false, isStarved: false } :
-            readGateAnswer(outcome.right);
+        const result = readOutcome(outcome, attempt);
+        return open === undefined ? result : { ...result, open: readOpenTry(open, attempt) };
     };
 
-    return async (target, attempt) => {
-        const result = target.nodeId === dependencies.ownNodeId ?
-            await sendLocally(attempt) :
-            await sendToNode(target, attempt);
-        return either.isLeft(result.outcome) ?
-            result :
-            { ...result, outcome: either.right(watchBody(result.outcome.right, attempt)) };
-    };
+    return async (target, attempt) =>
+        target.nodeId === dependencies.ownNodeId ?
+            watchResult(await sendLocally(attempt), attempt) :
+            sendToNode(target, attempt);
 };
--- a/packages/oleandergap-node/src/http/progressWatch.ts
+++ b/packages/oleandergap-node/src/http/progressWatch.ts
@@ -9,8 +9,8 @@
     readonly silenceMs: Milliseconds | undefined;
     readonly onDeadline: () => void;
     /**
-     * Called once; from then on only the deadline counts. `lateMs` tells how much later than due this process noticed:
-     * it was behind with its events for about as long.
+     * Called each time that so long has passed without a sign. `lateMs` tells how much later than due this process
+     * noticed: it was behind with its events for about as long.
      */
     readonly onSilence: (lateMs: Milliseconds) => void;
 }
@@ -27,12 +27,12 @@
  */
 export const startProgressWatch = (options: ProgressWatchOptions): ProgressWatch => {
     const { clock, deadline, silenceMs, onDeadline, onSilence } = options;
-    let heardAt = clock.monotonic();
-    let watchesSilence = silenceMs !== undefined;
+    /** Time of the last sign, or of the last silence that was told. */
+    let countsFrom = clock.monotonic();
     let cancel: CancelTimer = () => undefined;
 
     const silenceEnd = (): Milliseconds =>
-        watchesSilence && silenceMs !== undefined ? heardAt + silenceMs : Number.POSITIVE_INFINITY;
+        silenceMs === undefined ? Number.POSITIVE_INFINITY : countsFrom + silenceMs;
 
     const arm = (now: Milliseconds): void => {
         cancel = clock.after(Math.max(0, Math.min(deadline, silenceEnd()) - now), check);
@@ -46,16 +46,16 @@
         }
         if (now >= silenceEnd()) {
             const lateMs = now - silenceEnd();
-            watchesSilence = false;
+            countsFrom = now;
             onSilence(lateMs);
         }
         arm(now);
     };
 
-    arm(heardAt);
+    arm(countsFrom);
     return {
         heard: () => {
-            heardAt = clock.monotonic();
+            countsFrom = clock.monotonic();
         },
         stop: () => cancel(),
     };
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -5,6 +5,10 @@
  * would see requests run into their deadlines although the target is well. After a silence, an idempotent request is
  * therefore tried once more over a new connection to the same target, and only a second silence is the target's fault.
  * If the target was silent to others already, there is no second try, which would hold the request up for nothing.
+ *
+ * The first try stays open meanwhile. Signs of life are late as well when the other process is behind with its events
+ * or a link is full, while the target works on the request; closed at the first silence, such runs would be cut, and
+ * their callers told of a loss, whenever the second try is refused.
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
@@ -59,13 +63,27 @@
 
 type Outcome = Either<RequestFailure, Answer>;
 
-type Ending = "Open" | "DeadlinePassed" | "Cancelled" | "Silent";
+/** A try that has been silent, and goes on until it is silent once more. */
+export interface OpenTry {
+    /** Never rejects. */
+    readonly outcome: Promise<Outcome>;
+    readonly cancel: () => void;
+}
 
-interface Try {
+/** How a request ended for its sender. */
+export interface WatchedOutcome {
     readonly outcome: Outcome;
-    readonly ending: Ending;
-    /** The target was known to be silent already, so that the connection is not at fault. */
-    readonly isPointless: boolean;
+    /** Present when the outcome is a silence: the answer may still come, whatever else is tried. */
+    readonly open?: OpenTry;
+}
+
+type Ending = "Open" | "DeadlinePassed" | "Cancelled" | "Silent";
+
+interface Try extends OpenTry {
+    /** Resolves at the first silence, never if there is none. */
+    readonly silence: Promise<"Silent">;
+    /** Whether the target was known to be silent already, so that the connection is not at fault. */
+    readonly isPointless: () => boolean;
 }
 
 const DETAILS: Readonly<Record<Exclude<Ending, "Open">, string>> = {
@@ -82,11 +100,17 @@
         outcome;
 };
 
-const tryOnce = async (clock: Clock, request: WatchedRequest, endsAtSilence: boolean): Promise<Try> => {
+/** Starts a try that ends after `mostSilences` in a row. */
+const startTry = (clock: Clock, request: WatchedRequest, mostSilences: number): Try => {
     const { signal } = request;
     let ending: Ending = "Open";
     let isPointless = false;
     let signs = 0;
+    let silences = 0;
+    let tellSilence: (silence: "Silent") => void = () => undefined;
+    const silence = new Promise<"Silent">((resolve) => {
+        tellSilence = resolve;
+    });
 
     const end = (reason: Exclude<Ending, "Open">): void => {
         if (ending === "Open") {
@@ -94,13 +118,17 @@
             exchange.abort(DETAILS[reason]);
         }
     };
-    const onAbort = (): void => end("Cancelled");
+    const cancel = (): void => end("Cancelled");
     const onSilence = (lateMs: Milliseconds): void => {
-        request.renewConnections();
-        isPointless = request.onSilence?.({ signs, lateMs }) ?? false;
-        if (endsAtSilence) {
+        silences += 1;
+        if (silences >= mostSilences) {
             end("Silent");
         }
+        if (silences === 1) {
+            request.renewConnections();
+            isPointless = request.onSilence?.({ signs, lateMs }) ?? false;
+            tellSilence("Silent");
+        }
     };
 
     const watch: ProgressWatch = startProgressWatch({
@@ -125,40 +153,72 @@
         onInformation: () => {
             watch.heard();
             signs += 1;
+            silences = 0;
             request.onSign?.();
         },
     });
-    signal.addEventListener("abort", onAbort, { once: true });
+    signal.addEventListener("abort", cancel, { once: true });
     if (signal.aborted) {
-        onAbort();
+        cancel();
     }
 
-    const outcome = await exchange.outcome;
-    watch.stop();
-    signal.removeEventListener("abort", onAbort);
-    return { outcome: nameReason(outcome, ending), ending, isPointless };
+    const outcome = exchange.outcome.then((ended) => {
+        watch.stop();
+        signal.removeEventListener("abort", cancel);
+        return nameReason(ended, ending);
+    });
+    return { outcome, cancel, silence, isPointless: () => isPointless };
 };
 
 /** A refusal of the other side comes as an answer; taken for one, it would promise too much of an earlier try. */
-const isSurelyNotRun = (outcome: Outcome, { readFailure }: WatchedRequest): boolean => {
-    const failure = either.isLeft(outcome) ? outcome.left : readFailure(outcome.right);
-    return failure?.verdict === "notRun";
+const findFailure = (outcome: Outcome, { readFailure }: WatchedRequest): RequestFailure | undefined =>
+    either.isLeft(outcome) ? outcome.left : readFailure(outcome.right);
+
+const discardAnswer = (outcome: Outcome): void => {
+    if (either.isRight(outcome)) {
+        discardBody(outcome.right);
+    }
+};
+
+/** The first answer of two tries; if there is none, the failure of the one that may have run. */
+const takeAnswer = async (first: Try, second: Try, request: WatchedRequest): Promise<Outcome> => {
+    const [earlier, other] = await Promise.race([
+        first.outcome.then((outcome) => [outcome, second] as const),
+        second.outcome.then((outcome) => [outcome, first] as const),
+    ]);
+    const failure = findFailure(earlier, request);
+    if (failure === undefined) {
+        other.cancel();
+        void other.outcome.then(discardAnswer);
+        return earlier;
+    }
+    const later = await other.outcome;
+    const laterFailure = findFailure(later, request);
+    const isLaterTold = laterFailure === undefined || failure.verdict === "notRun";
+    discardAnswer(isLaterTold ? earlier : later);
+    return isLaterTold ? later : earlier;
 };
 
+/** One silence is answered by a second try; the second one in a row is the target's fault. */
+const MOST_SILENCES = 2;
+
 /** Sends `request`; twice at most, and only if it is idempotent. Never rejects. */
-export const sendWatched = async (clock: Clock, request: WatchedRequest): Promise<Outcome> => {
+export const sendWatched = async (clock: Clock, request: WatchedRequest): Promise<WatchedOutcome> => {
     // A request that must not run twice waits for its deadline: nobody can tell whether it arrived.
-    const first = await tryOnce(clock, request, request.idempotent);
-    if (first.ending !== "Silent" || first.isPointless || !canSendAgain(request.body)) {
-        return first.outcome;
+    const first = startTry(clock, request, request.idempotent ? MOST_SILENCES : Number.POSITIVE_INFINITY);
+    if (!request.idempotent || request.silenceMs === undefined) {
+        return { outcome: await first.outcome };
+    }
+    const ended = await Promise.race([first.outcome, first.silence]);
+    if (ended !== "Silent") {
+        return { outcome: ended };
     }
-    const second = await tryOnce(clock, request, true);
-    // The first try may still run, whatever became of the second one: a refusal of that alone promises too much.
-    if (!isSurelyNotRun(second.outcome, request)) {
-        return second.outcome;
+    if (!canSendAgain(request.body)) {
+        return { outcome: await first.outcome };
     }
-    if (either.isRight(second.outcome)) {
-        discardBody(second.outcome.right);
+    if (first.isPointless()) {
+        const silent = { kind: "AnswerLost", verdict: "mayHaveRun", detail: DETAILS.Silent } as const;
+        return { outcome: either.left(silent), open: first };
     }
-    return first.outcome;
+    return { outcome: await takeAnswer(first, startTry(clock, request, 1), request) };
 };
--- a/packages/oleandergap-routing/src/refuseBeforeSending.ts
+++ b/packages/oleandergap-routing/src/refuseBeforeSending.ts
@@ -42,18 +42,18 @@
     throttle: OverloadThrottle,
     picker: TargetPicker<Target>,
     execute: RequestRouter<Target>["execute"],
-): RequestRouter<Target>["execute"] => async (execution, attempt) => {
+): RequestRouter<Target>["execute"] => async (execution, attempt, discard) => {
     const { service, row } = execution;
     // With weights, each zone's share goes there whatever room it has; only placement by load tells of the service.
     if (row.placement !== "load") {
-        return execute(execution, attempt);
+        return execute(execution, attempt, discard);
     }
     const throttled = nameAlike(execution);
     const hasRoom = (): boolean => picker.hasRoom(toPickRequest(execution));
     if (!throttle.admits(throttled)) {
         return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
     }
-    const routed = await execute(execution, attempt);
+    const routed = await execute(execution, attempt, discard);
     if (!wasShort(routed, hasRoom)) {
         throttle.noteAccepted(throttled);
     }
@@ -65,13 +65,13 @@
     starvation: StarvationThrottle,
     picker: TargetPicker<Target>,
     execute: RequestRouter<Target>["execute"],
-): RequestRouter<Target>["execute"] => async (execution, attempt) => {
+): RequestRouter<Target>["execute"] => async (execution, attempt, discard) => {
     const { service } = execution;
     const alike = nameAlike(execution);
     if (!starvation.admits(alike)) {
         return either.left(createAttemptHistory().conclude(refuse("Starved"), picker.retryAfter(service)));
     }
-    const routed = await execute(execution, attempt);
+    const routed = await execute(execution, attempt, discard);
     if (either.isRight(routed)) {
         starvation.noteRun(alike, routed.right.isStarved === true);
     }
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -43,6 +43,15 @@
     readonly retriedBelow: boolean;
     /** The target answered with a failure because a call that it made was not served. */
     readonly isStarved?: boolean | undefined;
+    /** Present when the outcome is the silence of a gate that may answer yet. */
+    readonly open?: OpenAttempt<Answer>;
+}
+
+/** An attempt that failed by its silence, and goes on until it is silent once more. */
+export interface OpenAttempt<Answer> {
+    /** Never rejects. */
+    readonly result: Promise<AttemptResult<Answer>>;
+    readonly cancel: () => void;
 }
 
 /** Sends the request to one target. Must keep to the deadline and the signal by itself. */
@@ -51,6 +60,9 @@
     context: AttemptContext,
 ) => Promise<AttemptResult<Answer>>;
 
+/** Gives an answer up that nobody wants, so that it holds no connection. */
+export type DiscardAnswer<Answer> = (answer: Answer) => void;
+
 /** An answer and how it was come by. */
 export interface Routed<Answer> {
     readonly answer: Answer;
@@ -80,9 +92,13 @@
 
 /** Carries requests to their end over one or several attempts. */
 export interface RequestRouter<Target extends RoutableTarget> {
-    /** Sends a request, and again elsewhere where that is safe. Never rejects. */
+    /**
+     * Sends a request, and again elsewhere where that is safe. Never rejects. `discard` takes answers that come after
+     * another one was chosen.
+     */
     readonly execute: <Answer>(
         execution: RequestExecution<Target>,
         attempt: Attempt<Target, Answer>,
+        discard?: DiscardAnswer<Answer>,
     ) => Promise<Either<RoutedFailure, Routed<Answer>>>;
 }
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -1,19 +1,15 @@
 /** Sends a request to a target, and elsewhere again where that is safe, within budget and deadline. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import {
-    formatServiceReference,
-    type Clock,
-    type GateLoad,
-    type Milliseconds,
-    type RequestFailure,
-} from "oleandergap-types";
-import { describeError } from "oleandergap-utils";
+import { formatServiceReference, type Clock, type RequestFailure } from "oleandergap-types";
 import { createAttemptHistory, type AttemptHistory } from "./attemptHistory.js";
+import { createTryTarget } from "./tryTarget.js";
 import { defaultRoutingOptions, type RetryOptions } from "./options.js";
+import { createOpenAttempts } from "./openAttempts.js";
 import type {
     Attempt,
     AttemptResult,
+    DiscardAnswer,
     RequestExecution,
     RequestRouter,
     Routed,
@@ -25,7 +21,7 @@
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { mayRetry } from "./retryDecision.js";
 import { toPickRequest } from "./pickRequest.js";
-import type { AttemptOutcome, RoutableTarget, TargetPick, TargetPicker } from "./target.js";
+import type { RoutableTarget, TargetPicker } from "./target.js";
 
 /** What a router works with. */
 export interface RequestRouterDependencies<Target extends RoutableTarget> {
@@ -38,36 +34,6 @@
     readonly starvation?: StarvationThrottle | undefined;
 }
 
-/**
- * A request whose time is over before it could be sent is refused by this node, not by the target's: no load was told.
- * Taken for an answer, it would bring a target back that is cut off; one would see requests wait there again and again.
- */
-const isUnheard = (failure: RequestFailure, load: GateLoad | undefined): boolean =>
-    failure.kind === "Refused" && failure.reason === "DeadlinePassed" && load === undefined;
-
-const toOutcome = (
-    { failure, load }: { readonly failure: RequestFailure; readonly load: GateLoad | undefined },
-    waitedMs: Milliseconds,
-    isTimeout: boolean,
-): AttemptOutcome => {
-    if (isUnheard(failure, load)) {
-        return { kind: "AnswerLost", waitedMs, isTimeout: true };
-    }
-    switch (failure.kind) {
-        case "Refused":
-            return failure.reason === "Cancelled" || failure.reason === "ClaimUnavailable" ?
-                { kind: "Abandoned" } :
-                { kind: "Refused", reason: failure.reason };
-        case "ConnectFailed":
-            return { kind: "ConnectFailed" };
-        case "AnswerLost":
-        case "AnswerCut":
-            return { kind: "AnswerLost", waitedMs, isTimeout };
-        default:
-            return { kind: "Abandoned" };
-    }
-};
-
 /** Creates the router of one node; each service has a retry budget of its own. */
 export const createRequestRouter = <Target extends RoutableTarget>({
     clock,
@@ -88,6 +54,8 @@
         return budget;
     };
 
+    const tryTarget = createTryTarget<Target>(clock);
+
     const findObstacle = ({ signal, deadline }: RequestExecution<Target>): RequestFailure | undefined => {
         if (signal.aborted) {
             return refuse("Cancelled");
@@ -95,47 +63,6 @@
         return clock.monotonic() >= deadline ? refuse("DeadlinePassed") : undefined;
     };
 
-    /** An attempt that throws is a fault of this program; the request may be anywhere. */
-    const runAttempt = async <Answer>(
-        { target, progress }: TargetPick<Target>,
-        { deadline, signal }: RequestExecution<Target>,
-        attempt: Attempt<Target, Answer>,
-    ): Promise<AttemptResult<Answer>> => {
-        try {
-            return await attempt(target, { deadline, signal, progress });
-        }
-        catch (error) {
-            const failure = { kind: "AnswerLost", verdict: "mayHaveRun", detail: describeError(error) } as const;
-            const outcome = either.left(failure);
-            return { outcome, load: undefined, retriedBelow: false };
-        }
-    };
-
-    const tryTarget = async <Answer>(
-        pick: TargetPick<Target>,
-        execution: RequestExecution<Target>,
-        attempt: Attempt<Target, Answer>,
-    ): Promise<AttemptResult<Answer>> => {
-        const sentAt = clock.monotonic();
-        const result = await runAttempt(pick, execution, attempt);
-        const now = clock.monotonic();
-        if (either.isRight(result.outcome)) {
-            // A run that failed for want of a call took as long as the call, which says nothing of its target.
-            pick.report(
-                result.isStarved === true ? { kind: "Abandoned" } : { kind: "Answered", latencyMs: now - sentAt },
-                result.load,
-            );
-            return result;
-        }
-        const outcome: AttemptOutcome = execution.signal.aborted ?
-            { kind: "Abandoned", waitedMs: now - sentAt } :
-            toOutcome(
-                { failure: result.outcome.left, load: result.load }, now - sentAt, now >= execution.deadline,
-            );
-        pick.report(outcome, result.load);
-        return result;
-    };
-
     const mayTryAgain = (
         execution: RequestExecution<Target>,
         history: AttemptHistory,
@@ -157,14 +84,33 @@
     const attemptAll = async <Answer>(
         execution: RequestExecution<Target>,
         attempt: Attempt<Target, Answer>,
+        discard: DiscardAnswer<Answer> = () => undefined,
     ): Promise<Either<RoutedFailure, Routed<Answer>>> => {
         const history = createAttemptHistory();
         const budget = budgetOf(execution);
         const hasRoom = (): boolean => picker.hasRoom(toPickRequest(execution));
-        const giveUp = (failure: RequestFailure): Either<RoutedFailure, Routed<Answer>> =>
-            either.left(history.conclude(failure, isShed(failure, hasRoom) ?
+        const open = createOpenAttempts(discard);
+        const succeed = (result: AttemptResult<Answer>, answer: Answer): Either<RoutedFailure, Routed<Answer>> => {
+            const { retriedBelow, isStarved = false } = result;
+            open.giveUp(result);
+            budget.deposit(execution.row.limit.retryRatio);
+            const attempts = history.tried.length;
+            return either.right({
+                answer,
+                attempts,
+                retriedBelow: retriedBelow || attempts > 1,
+                ...isStarved ? { isStarved } : {},
+            });
+        };
+        const giveUp = async (failure: RequestFailure): Promise<Either<RoutedFailure, Routed<Answer>>> => {
+            const late = await open.answer();
+            if (late !== undefined && either.isRight(late.outcome)) {
+                return succeed(late, late.outcome.right);
+            }
+            return either.left(history.conclude(failure, isShed(failure, hasRoom) ?
                 options.shedRetryAfterMs :
                 picker.retryAfter(execution.service)));
+        };
         for (;;) {
             const obstacle = findObstacle(execution);
             if (obstacle !== undefined) {
@@ -175,20 +121,17 @@
                 return giveUp(history.lastFailure() ?? refuse("NoTarget"));
             }
             history.addAttempt(pick.target);
-            const { outcome, retriedBelow, isStarved = false } = await tryTarget(pick, execution, attempt);
-            if (either.isRight(outcome)) {
-                budget.deposit(execution.row.limit.retryRatio);
-                const attempts = history.tried.length;
-                return either.right({
-                    answer: outcome.right,
-                    attempts,
-                    retriedBelow: retriedBelow || attempts > 1,
-                    ...isStarved ? { isStarved } : {},
-                });
+            const result = await tryTarget(pick, execution, attempt, open);
+            if (either.isRight(result.outcome)) {
+                return succeed(result, result.outcome.right);
+            }
+            const failure = result.outcome.left;
+            if (result.open !== undefined) {
+                open.add(result.open);
             }
-            history.addFailure(pick.target, outcome.left, retriedBelow);
-            if (!mayTryAgain(execution, history, outcome.left, budget)) {
-                return giveUp(outcome.left);
+            history.addFailure(pick.target, failure, result.retriedBelow);
+            if (!mayTryAgain(execution, history, failure, budget)) {
+                return giveUp(failure);
             }
         }
     };
