A failing test: a version that could not be fetched for a while is not asked for afterwards

What callers saw: 404 on a route, more than three seconds after its version was confirmed, from a node with a full link. The test lets all fetches between twelve nodes fail for one second.

--- /dev/null
+++ b/packages/oleandergap-distribution/src/__tests__/slowDelivery.test.ts
@@ -0,0 +1,47 @@
+import { expect } from "chai";
+import type { CellValue } from "oleandergap-types";
+import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+
+/** Too many for a datagram, so that members pull the step. */
+const CHANGED_LIMITS = 40;
+const MANY_LIMITS: Readonly<Record<string, CellValue>> =
+    Object.fromEntries(Array.from({ length: CHANGED_LIMITS }).flatMap((_, number) => [
+        [`limits/limit-${number}/concurrency`, 4],
+        [`limits/limit-${number}/queue`, 8],
+        [`limits/limit-${number}/timeoutMs`, 2_000],
+        [`limits/limit-${number}/retryRatio`, 0.1],
+    ]));
+
+/** As long as a link may be full of requests. */
+const TROUBLE_MS = 1_000;
+/** A node that can reach its peers again has no reason to be later than this. */
+const AFTER_TROUBLE_MS = 1_500;
+
+/** One zone in which versions cannot be fetched for a while after one came into force at its readers. */
+const playTrouble = async (seed: number): Promise<InMemoryFleet> => {
+    let delivers = true;
+    const fleet = createInMemoryFleet({ zones: 1, nodesPerZone: 12, seed, deliversVersions: () => delivers });
+    await fleet.startAll();
+    delivers = false;
+    fleet.acceptAt(fleet.node(0), "halloway", MANY_LIMITS);
+    await fleet.clock.advance(TROUBLE_MS);
+    delivers = true;
+    await fleet.clock.advance(AFTER_TROUBLE_MS);
+    return fleet;
+};
+
+/*
+ * Symptom: a node answers 404 on a route that was confirmed more than three seconds before.
+ * Sequence: the node's link is full of requests; it hears of the version in a datagram, and asks three members for it,
+ *   one after the other, which all run out of time; the link is free again, and no newer version comes.
+ */
+describe("a version that could not be fetched for a while", () => {
+    it("is fetched as soon as its holders can be reached again", async () => {
+        for (const seed of [1, 2, 3]) {
+            const fleet = await playTrouble(seed);
+            const behind = fleet.nodes.filter((node) => !fleet.informed("halloway").includes(node));
+            expect(behind.map(({ address }) => address.id), `seed ${seed}`).to.deep.equal([]);
+            fleet.stop();
+        }
+    });
+});
