The end of a caller's connection counts as soon as it is read

Cause: the abort of a request followed the close of its answer, which comes some turns of the event loop after the end of the connection was read; a gate that is behind waits two turns and then asked too early. Ruled out: requests that stay in a gate's queue with an aborted signal (a gate refuses those, and a hang-up takes them out). Change: the abort comes with the end of the connection. Before: the unit test finds no abort at that moment; after: it does. A second test plays the whole case at a gate; it passes with and without the change here.

--- a/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
@@ -11,10 +11,21 @@
 import { createRequestPath } from "../createRequestPath.js";
 import { ownDialects } from "../http/dialect.js";
 import { startListener } from "../http/listener.js";
+import { startLoopLag } from "../http/loopLag.js";
 import { createTurnQueue } from "../http/turnQueue.js";
 import { nodeOptionsSchema } from "../options.js";
 import { createMember, createRow, createView, HOST } from "./gatewaySupport.js";
-import { createCleanup, LOOPBACK, startTarget, until } from "./support.js";
+import {
+    call,
+    createAnnouncement,
+    createCleanup,
+    gateHeaders,
+    LOOPBACK,
+    startGate,
+    startTarget,
+    TEST_LIMIT,
+    until,
+} from "./support.js";
 
 /** Longer than a process may stand still without counting as behind with its events. */
 const PAUSE_MS = 150;
@@ -149,6 +160,40 @@
         expect(gate.received.filter((path) => path === "/left")).to.deep.equal([]);
     });
 
+    /*
+     * Symptom: a request that waits at a gate is handed to its target almost a second after its caller left, and cut.
+     * Sequence: the node is behind with its events; the answer for which a slot was taken and the end of the waiting
+     *   request's connection have both arrived; the slot goes to the waiting request.
+     */
+    it("are not handed to the target by a gate that was behind when their turn came", async () => {
+        const received: string[] = [];
+        let answerFirst: () => void = () => undefined;
+        const target = await startTarget(cleanup.add, (request, response) => {
+            received.push(request.url ?? "");
+            answerFirst = () => response.end("answer");
+        });
+        const life = new AbortController();
+        cleanup.add(() => life.abort());
+        const { catchUp } = startLoopLag({ clock, onPause: () => undefined }, life.signal);
+        const limit = { ...TEST_LIMIT, concurrency: 1 };
+        const gate = await startGate(cleanup.add, { clock, limit, catchUp });
+        gate.keeper.announce(createAnnouncement(target));
+        const waitingCaller = await openConnection(gate.port);
+        const first = call({ port: gate.port, path: "/first", headers: gateHeaders() });
+        await until(() => received.length === 1);
+        const headers = Object.entries(gateHeaders({ "oleandergap-request-id": "second" }));
+        const lines = ["GET /left HTTP/1.1", ...headers.map(([name, value]) => `${name}: ${value}`)];
+        waitingCaller.write(`${lines.join("\r\n")}\r\n\r\n`);
+        await until(() => gate.keeper.current()?.gate.load().queued === 1);
+
+        answerFirst();
+        waitingCaller.destroy();
+        standStill();
+        await first;
+        await sleep(SETTLE_MS);
+        expect(received).to.deep.equal(["/first"]);
+    });
+
     it("are not handed on by a node that was behind, on new connections", async () => {
         const gate = await startOtherGate();
         const port = await startNodeGateway(gate.port);
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -200,11 +200,13 @@
     readonly clock: Clock;
     readonly limit?: Limit;
     readonly claims?: Claims;
+    /** See `LoopLag`. */
+    readonly catchUp?: () => Promise<void> | undefined;
 }
 
 /** A node's gate on loopback, without a target until one is announced. */
 export const startGate = async (cleanup: Cleanup, options: GateHarnessOptions): Promise<GateHarness> => {
-    const { clock, limit = TEST_LIMIT, claims = createRecordedClaims().keeper } = options;
+    const { clock, limit = TEST_LIMIT, claims = createRecordedClaims().keeper, catchUp = () => undefined } = options;
     const published: (MemberTarget | undefined)[] = [];
     const pools = createConnectionPools({ clock, connectTimeoutMs: 500, idleMs: 4000, poolIdleMs: 60_000 });
     cleanup(() => pools.destroy());
@@ -227,6 +229,7 @@
         maxAnswerBytes: 1024,
         minSilenceMs: 1000,
         bodySilenceMs: 30_000,
+        catchUp,
     });
     const listener = await startTestListener(cleanup, clock, createGateHandler({
         clock,
--- a/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
+++ b/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
@@ -67,4 +67,28 @@
         await until(() => arrived?.destroyed === true);
         expect(arrived !== undefined && signals.create(arrived).aborted).to.equal(true);
     });
+
+    // Symptom: as above, although the node lets what has arrived be read before it hands a request on.
+    // Sequence: the end of the connection is read; the request is handed on in the same turn of the event loop.
+    // Cause: the answer's close told of the end, and it comes some turns after the end was read.
+    // Evidence: a request whose caller had left 0.84 s before was handed to its target by a gate and cut within the same
+    //   millisecond, although gates that are behind read what has arrived before they hand a request on.
+    it("are known to have left as soon as the end of their connection is read", async () => {
+        const signals = createCallerSignals();
+        let wasAborted: boolean | undefined;
+        const server = http.createServer((request, response) => {
+            const signal = signals.create(response);
+            request.socket.once("end", () => {
+                wasAborted = signal.aborted;
+            });
+        });
+        await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+        cleanup.add(() => server.close());
+        const client = net.connect((server.address() as net.AddressInfo).port, LOOPBACK);
+        client.write("GET / HTTP/1.1\r\nhost: a.example\r\n\r\n");
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        client.end();
+        await until(() => wasAborted !== undefined);
+        expect(wasAborted).to.equal(true);
+    });
 });
--- a/packages/oleandergap-node/src/http/callerSignal.ts
+++ b/packages/oleandergap-node/src/http/callerSignal.ts
@@ -14,17 +14,25 @@
     return {
         create: (response) => {
             const controller = new AbortController();
+            const { socket } = response.req;
             // Node.js ends a connection whose other side has ended, so that no answer would arrive any more.
-            if (response.destroyed || response.req.socket.readableEnded) {
+            if (response.destroyed || socket.readableEnded) {
                 controller.abort();
                 return controller.signal;
             }
             controllers.add(controller);
-            response.once("close", () => {
-                controllers.delete(controller);
+            // The answer's own close comes some turns of the event loop after the end of the connection was read. A
+            // node that is behind looks for that end before it hands a request on, and would miss it by these turns.
+            const leave = (): void => {
                 if (!response.writableFinished) {
                     controller.abort();
                 }
+            };
+            socket.once("end", leave);
+            response.once("close", () => {
+                socket.removeListener("end", leave);
+                controllers.delete(controller);
+                leave();
             });
             return controller.signal;
         },
