--- a/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
+++ b/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
@@ -71,8 +71,8 @@
     // Symptom: as above, although the node lets what has arrived be read before it hands a request on.
     // Sequence: the end of the connection is read; the request is handed on in the same turn of the event loop.
     // Cause: the answer's close told of the end, and it comes some turns after the end was read.
-    // Evidence: a request whose caller had left 0.84 s before was handed to its target by a gate and cut within the same
-    //   millisecond, although gates that are behind read what has arrived before they hand a request on.
+    // Evidence: a request whose caller had left 0.84 s before was handed to its target by a gate and cut within the
+    //   same millisecond, although gates that are behind read what has arrived before they hand a request on.
     it("are known to have left as soon as the end of their connection is read", async () => {
         const signals = createCallerSignals();
         let wasAborted: boolean | undefined;
