A failing test: calls that nobody answers are sent on as if they were taken

What callers saw: lookups served too seldom. For ten seconds the node of the last settlement target reads 136 to 264 status checks a second after their callers have gone, with 0 to 4 of 18 slots taken. The test: all calls are sent on to a node that answers none.

--- /dev/null
+++ b/packages/oleandergap-routing/src/__tests__/unansweredCalls.test.ts
@@ -0,0 +1,121 @@
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import type { Milliseconds } from "oleandergap-types";
+import { createManualClock, createSeededRandom, type ManualClock } from "oleandergap-utils";
+import {
+    createOverloadThrottle,
+    createRequestRouter,
+    createTargetPicker,
+    type AttemptResult,
+    type RoutableTarget,
+} from "../index.js";
+import { createRow, createTargets, testService } from "./pickerHarness.js";
+import { answerLost } from "./routerHarness.js";
+
+const CALL_DISTANCE_MS: Milliseconds = 5;
+const RUN_MS: Milliseconds = 50;
+/** Callers of such calls expire with the runs that made them. */
+const PATIENCE_MS: Milliseconds = 400;
+
+/** How the only target treats a call. */
+type Treatment = "Answers" | "ReadsTooLate";
+
+interface Calls {
+    readonly clock: ManualClock;
+    /** Calls of the time that has passed since the last look: all of them, and those that were sent and answered. */
+    readonly look: () => { readonly asked: number; readonly sent: number; readonly answered: number };
+    readonly play: (durationMs: Milliseconds, treatment: Treatment, patienceMs?: Milliseconds) => Promise<void>;
+}
+
+/** One node that calls a service with one target, 200 times a second. */
+const createCalls = (): Calls => {
+    const clock = createManualClock();
+    const random = createSeededRandom(5);
+    const picker = createTargetPicker<RoutableTarget>({ ownZone: "hall-a", clock, random });
+    const throttle = createOverloadThrottle(clock, random);
+    const router = createRequestRouter({ clock, picker, throttle });
+    const row = { ...createRow({ "hall-a": 1 }, 0.1), placement: "load" as const };
+    const targets = createTargets("hall-a", 1);
+    let asked = 0;
+    let sent = 0;
+    let answered = 0;
+
+    const attempt = (treatment: Treatment, signal: AbortSignal): Promise<AttemptResult<string>> =>
+        new Promise((resolve) => {
+            sent += 1;
+            signal.addEventListener("abort", () =>
+                resolve({ outcome: either.left(answerLost), load: undefined, retriedBelow: false }));
+            if (treatment === "Answers") {
+                clock.after(RUN_MS, () =>
+                    resolve({ outcome: either.right("answer"), load: undefined, retriedBelow: false }));
+            }
+        });
+
+    const call = async (treatment: Treatment, patienceMs: Milliseconds): Promise<void> => {
+        asked += 1;
+        const caller = new AbortController();
+        clock.after(patienceMs, () => caller.abort());
+        const routed = await router.execute<string>({
+            service: testService,
+            row,
+            targets,
+            idempotent: true,
+            replayable: () => true,
+            deadline: clock.monotonic() + 2 * PATIENCE_MS,
+            retriesAllowed: true,
+            kind: "status",
+            signal: caller.signal,
+        }, (_target, { signal }) => attempt(treatment, signal));
+        answered += either.isRight(routed) ? 1 : 0;
+    };
+
+    return {
+        clock,
+        look: () => {
+            const counts = { asked, sent, answered };
+            asked = 0;
+            sent = 0;
+            answered = 0;
+            return counts;
+        },
+        play: async (durationMs, treatment, patienceMs = PATIENCE_MS) => {
+            for (let passed = 0; passed < durationMs; passed += CALL_DISTANCE_MS) {
+                void call(treatment, patienceMs);
+                await clock.advance(CALL_DISTANCE_MS);
+            }
+        },
+    };
+};
+
+/*
+ * Symptom: for ten seconds next to no call of a service is answered, and most requests that make such calls fail,
+ *   while its target has nearly all slots free.
+ * Sequence: of a service one target is left, beside a node that has just started; calls come faster than the node reads
+ *   them; their callers give up before they are read, and the next ones call as often.
+ */
+describe("calls whose callers give up before they are read", () => {
+    it("are refused at the first node until the target's node has caught up", async () => {
+        const calls = createCalls();
+        await calls.play(1_000, "Answers");
+        calls.look();
+        await calls.play(2_000, "ReadsTooLate");
+        calls.look();
+        await calls.play(1_000, "ReadsTooLate");
+        const late = calls.look();
+        expect(late.sent / late.asked).to.be.at.most(1 / 3);
+        await calls.play(3_000, "Answers");
+        calls.look();
+        await calls.play(1_000, "Answers");
+        const again = calls.look();
+        expect(again.answered / again.asked).to.be.at.least(0.95);
+    });
+
+    it("say nothing if they give up sooner than an answer usually comes", async () => {
+        const calls = createCalls();
+        await calls.play(1_000, "Answers");
+        calls.look();
+        await calls.play(2_000, "Answers", RUN_MS / 2);
+        const { asked, sent } = calls.look();
+        expect(sent).to.equal(asked);
+    });
+});
