A call that nobody answers counts against what a node sends on

What callers saw: lookups failed for want of a status check, for ten seconds and more, while the only target that could answer status checks was nearly idle. Cause: its node, just started, read calls later than their callers wait, found each of them dead and spent its time on them. The throttle of the first node, made for a service with one target left, counted an unanswered call as accepted, so that all of them were sent on, as fast as before.

--- a/packages/oleandergap-routing/src/refuseBeforeSending.ts
+++ b/packages/oleandergap-routing/src/refuseBeforeSending.ts
@@ -1,7 +1,7 @@
 /** Wrappers of a router that refuse requests before they are sent, by what became of earlier ones of their kind. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import { formatServiceReference, type RequestFailure } from "oleandergap-types";
+import { formatServiceReference, type Clock, type Milliseconds, type RequestFailure } from "oleandergap-types";
 import { createAttemptHistory } from "./attemptHistory.js";
 import { isShortage } from "./learnOutcome.js";
 import type { OverloadThrottle } from "./overloadThrottle.js";
@@ -37,10 +37,25 @@
     { service, kind = "", isReturning = false }: RequestExecution<Target>,
 ): string => `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
 
+/** Whether the request was sent, and its caller left or its time passed before anybody answered. */
+const wasUnanswered = (
+    { signal, deadline }: Pick<RequestExecution<RoutableTarget>, "signal" | "deadline">,
+    routed: Either<RoutedFailure, unknown>,
+    now: Milliseconds,
+): boolean =>
+    either.isLeft(routed) && routed.left.attempts > 0 &&
+    routed.left.failure.kind === "AnswerLost" && (signal.aborted || now >= deadline);
+
+/** What the throttle is told of a request that it admitted. */
+export interface ThrottleDependencies<Target extends RoutableTarget> {
+    readonly clock: Clock;
+    readonly throttle: OverloadThrottle;
+    readonly picker: TargetPicker<Target>;
+}
+
 /** Refuses what the throttle does not admit, and tells it what became of the rest. */
 export const throttleRequests = <Target extends RoutableTarget>(
-    throttle: OverloadThrottle,
-    picker: TargetPicker<Target>,
+    { clock, throttle, picker }: ThrottleDependencies<Target>,
     execute: RequestRouter<Target>["execute"],
 ): RequestRouter<Target>["execute"] => async (execution, attempt, discard) => {
     const { service, row } = execution;
@@ -53,8 +68,16 @@
     if (!throttle.admits(throttled)) {
         return either.left(createAttemptHistory().conclude(refuse("LimitReached"), picker.retryAfter(service)));
     }
+    const sentAt = clock.monotonic();
     const routed = await execute(execution, attempt, discard);
-    if (!wasShort(routed, hasRoom)) {
+    const now = clock.monotonic();
+    if (either.isRight(routed)) {
+        throttle.noteAnswered(throttled, now - sentAt);
+    }
+    else if (wasUnanswered(execution, routed, now)) {
+        throttle.noteUnanswered(throttled, now - sentAt);
+    }
+    else if (!wasShort(routed, hasRoom)) {
         throttle.noteAccepted(throttled);
     }
     return routed;
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -136,6 +136,6 @@
         }
     };
 
-    const throttled = throttle === undefined ? attemptAll : throttleRequests(throttle, picker, attemptAll);
+    const throttled = throttle === undefined ? attemptAll : throttleRequests({ clock, throttle, picker }, attemptAll);
     return { execute: starvation === undefined ? throttled : refuseStarving(starvation, picker, throttled) };
 };
