--- a/packages/oleandergap-routing/src/overloadThrottle.ts
+++ b/packages/oleandergap-routing/src/overloadThrottle.ts
@@ -28,8 +28,8 @@
 const MINIMUM_REQUESTS = 5;
 
 /**
- * A caller that gives up sooner than after this many times the usual duration says nothing of the service: it might have
- * been answered.
+ * A caller that gives up sooner than after this many times the usual duration says nothing of the service: it might
+ * have been answered.
  */
 const PATIENT_FACTOR = 2;
 
