--- a/packages/oleandergap-routing/src/refuseBeforeSending.ts
+++ b/packages/oleandergap-routing/src/refuseBeforeSending.ts
@@ -38,8 +38,8 @@
 ): string => `${formatServiceReference(service)} ${kind} ${isReturning ? "again" : "first"}`;
 
 /**
- * Part of its time that a caller has to have waited for its leaving to tell of the service. One that leaves sooner might
- * have been answered.
+ * Part of its time that a caller has to have waited for its leaving to tell of the service. One that leaves sooner
+ * might have been answered.
  */
 const PATIENT_PART = 0.5;
 
