A request's time runs from the moment at which its head was read

Cause: one request is started in each turn of the event loop, and its time was counted from its start; what it had waited for its turn came on top, at the node that it enters by and at the gate. Ruled out: the tries that stay open (each ends at the request's deadline). Change: deadline and objective are counted from the moment at which the head was read. Before: both tests give the next hop 1,000 ms of 1,000 after 300 ms of waiting; after: 700. What a request waits before its connection is accepted stays unknown to the node.

--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -13,7 +13,7 @@
 import { ownDialects } from "../http/dialect.js";
 import { createCallerSignals, type CallerSignals } from "../http/callerSignal.js";
 import { createConnectionPools } from "../http/connectionPools.js";
-import type { Listener } from "../http/listener.js";
+import type { Listener, ListenerOptions } from "../http/listener.js";
 import { LOOPBACK, startTestListener, TEST_LIMIT, type Cleanup } from "./support.js";
 
 export const HOST = "grant-filer.halloway";
@@ -57,6 +57,7 @@
     readonly maxBodyBytes?: number;
     readonly callerSignals?: CallerSignals;
     readonly findOwnerRouter?: FindOwnerRouter;
+    readonly turns?: ListenerOptions["turns"];
 }
 
 /** A node's gateway; none of the targets is its own. */
@@ -96,5 +97,5 @@
         noteUnserved: () => undefined,
         countRequest: () => undefined,
         logFailure: () => undefined,
-    }));
+    }), options.turns);
 };
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -10,7 +10,7 @@
 import type { ServeAtGate } from "../gate/gateRequest.js";
 import { createServeAtGate } from "../gate/serveAtGate.js";
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
-import { startListener, type HandleArrival, type Listener } from "../http/listener.js";
+import { startListener, type HandleArrival, type Listener, type ListenerOptions } from "../http/listener.js";
 import { ownDialects } from "../http/dialect.js";
 import { createTargetKeeper, type TargetKeeper } from "../target/targetKeeper.js";
 
@@ -67,9 +67,10 @@
     cleanup: Cleanup,
     clock: Clock,
     handle: HandleArrival,
+    turns?: ListenerOptions["turns"],
 ): Promise<Listener> => {
     const listener = await startListener({
-        name: "test", address: LOOPBACK, port: 0, maxConnections: 1000, clock, handle,
+        name: "test", address: LOOPBACK, port: 0, maxConnections: 1000, clock, handle, turns,
     })();
     if (either.isLeft(listener)) {
         throw new Error(listener.left.detail);
@@ -202,6 +203,7 @@
     readonly claims?: Claims;
     /** See `LoopLag`. */
     readonly catchUp?: () => Promise<void> | undefined;
+    readonly turns?: ListenerOptions["turns"];
 }
 
 /** A node's gate on loopback, without a target until one is announced. */
@@ -239,7 +241,7 @@
         load: () => keeper.current()?.gate.load(),
         maxBodyBytes: 64 * 1024 * 1024,
         usualTimeoutMs: 5000,
-    }));
+    }), options.turns);
     return { port: listener.port, listener, serve, keeper, pools, published };
 };
 
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -44,7 +44,7 @@
 import { startLoopLag } from "./http/loopLag.js";
 import { isFailedEnd, toRequestEnd, type RequestEnd } from "./http/requestEnd.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
-import type { HandleArrival, HandleRequest } from "./http/listener.js";
+import type { HandleArrival } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
 import { createTargetKeeper, type TargetKeeper } from "./target/targetKeeper.js";
 
@@ -76,7 +76,7 @@
     readonly claimSweeper: ClaimSweeper;
     readonly pools: ConnectionPools;
     /** Requests of other nodes. */
-    readonly handleGate: HandleRequest;
+    readonly handleGate: HandleArrival;
     /** Requests of callers. */
     readonly handleGateway: HandleArrival;
     /** Gives every caller whose request is under way its final answer. */
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -29,6 +29,7 @@
     selectRequestHeaders,
     STARVED_HEADER,
 } from "../http/headers.js";
+import type { RequestArrival } from "../http/listener.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
 import { formatLoad } from "../http/loadHeader.js";
 import { describeFailure, HTTP_STATUS, statusOfFailure } from "../http/refusal.js";
@@ -100,9 +101,11 @@
 
 type GateHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
 
+/** The request's time runs from `receivedAt`, the moment at which its head was read. */
 const readHead = (
-    { clock, usualTimeoutMs }: GateHandlerDependencies,
     request: IncomingMessage,
+    usualTimeoutMs: Milliseconds,
+    receivedAt: Milliseconds,
 ): Either<RequestFailure, GateHead> => {
     const service = parseService(readRequestHeader(request, SERVICE_HEADER));
     const requestId = readRequestHeader(request, REQUEST_ID_HEADER);
@@ -114,7 +117,6 @@
         return timeout;
     }
     const method = request.method ?? "";
-    const now = clock.monotonic();
     return either.right({
         service,
         caller: parseService(readRequestHeader(request, CALLER_HEADER)) ?? service,
@@ -127,8 +129,8 @@
         kind: readRequestHeader(request, KIND_HEADER) ?? "",
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
-        deadline: now + timeout.right,
-        objective: readObjective(request, now),
+        deadline: receivedAt + timeout.right,
+        objective: readObjective(request, receivedAt),
     });
 };
 
@@ -172,8 +174,12 @@
         writeAnswer(response, outcome.right, { ...describe(head.requestId), ...starved, [VERDICT_HEADER]: "ran" });
     };
 
-    const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-        const head = readHead(dependencies, request);
+    const handle = async (
+        request: IncomingMessage,
+        response: ServerResponse,
+        receivedAt: Milliseconds,
+    ): Promise<void> => {
+        const head = readHead(request, dependencies.usualTimeoutMs, receivedAt);
         if (either.isLeft(head)) {
             refuse(response, head.left, readRequestHeader(request, REQUEST_ID_HEADER));
             return;
@@ -191,8 +197,8 @@
         await serveBody(response, head.right, body.right);
     };
 
-    return (request: IncomingMessage, response: ServerResponse): void => {
-        handle(request, response).catch((error: unknown) => {
+    return (request: IncomingMessage, response: ServerResponse, { receivedAt }: RequestArrival): void => {
+        handle(request, response, receivedAt).catch((error: unknown) => {
             dependencies.logger.error("A request failed unexpectedly.", { detail: String(error) });
             response.destroy();
         });
--- a/packages/oleandergap-node/src/gateway/callerRequest.ts
+++ b/packages/oleandergap-node/src/gateway/callerRequest.ts
@@ -5,7 +5,6 @@
 import {
     IDEMPOTENCY_KEY_HEADER,
     MAX_NAME_LENGTH,
-    type Clock,
     type Milliseconds,
     type PartnerTable,
     type RequestFailure,
@@ -131,7 +130,11 @@
 
 /** What reading a request depends on. */
 export interface CallerRequestContext {
-    readonly clock: Clock;
+    /**
+     * Monotonic time at which the head was read. The request's time runs from here: counted from its start, callers
+     * of a node at which requests wait for their turn would have no answer by the operator's timeout.
+     */
+    readonly receivedAt: Milliseconds;
     /** The tables in force now; the request keeps them to its end. */
     readonly view: TableView;
     readonly dialect: CallerDialect;
@@ -147,10 +150,9 @@
 
 /** Reads the head of `request`. */
 export const readCallerRequest = (
-    { clock, view, dialect, chooseService, estimateWaited }: CallerRequestContext,
+    { receivedAt, view, dialect, chooseService, estimateWaited }: CallerRequestContext,
     request: IncomingMessage,
 ): Either<RequestFailure, CallerRequest> => {
-    const receivedAt = clock.monotonic();
     if (countHeader(request, "host") > 1) {
         // Two hops that each believe another one of them would send the request to different services.
         return either.left(badRequest("there is more than one Host header"));
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -158,7 +158,8 @@
             return;
         }
         const { chooseService, estimateWaited } = dependencies;
-        const context = { clock, view: dependencies.view(), dialect, chooseService, estimateWaited };
+        const { receivedAt } = passage.arrival;
+        const context = { receivedAt, view: dependencies.view(), dialect, chooseService, estimateWaited };
         const caller = readCallerRequest(context, passage.request);
         if (either.isLeft(caller)) {
             refuse(passage, caller.left);
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -9,7 +9,7 @@
 
 export interface NodeHandlers {
     readonly gateway: HandleArrival;
-    readonly gate: HandleRequest;
+    readonly gate: HandleArrival;
     readonly control: HandleRequest;
     readonly admin: HandleRequest;
 }
