--- a/packages/oleandergap-distribution/src/__tests__/largeSteps.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/largeSteps.test.ts
@@ -5,22 +5,14 @@
 // Cause: the tree hands on the source of a version along with the news of it, whatever that source's link carries.
 // Evidence: by calculation, 0.1 MB to four members takes 0.9 s of a link of 3.5 Mbit/s, three levels 2.7 s.
 import { expect } from "chai";
-import type { CellValue } from "oleandergap-types";
 import { defaultDistributionOptions } from "../options.js";
 import { expectInForceEverywhere } from "./fleetAssertions.js";
 import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { createLimits } from "./recordingStore.js";
 
 const WIDE = [5, 16];
 const ADDED_LIMITS = 300;
 
-const createManyLimits = (name: string): Readonly<Record<string, CellValue>> =>
-    Object.fromEntries(Array.from({ length: ADDED_LIMITS }).flatMap((_, number) => [
-        [`limits/${name}-${number}/concurrency`, 4],
-        [`limits/${name}-${number}/queue`, 8],
-        [`limits/${name}-${number}/timeoutMs`, 2_000],
-        [`limits/${name}-${number}/retryRatio`, 0.1],
-    ]));
-
 const startZone = async (): Promise<InMemoryFleet> => {
     const reader = { ...defaultDistributionOptions.reader, intervalMs: 100 };
     const budget = { ...defaultDistributionOptions.budget, zones: 1, readerReadsPerSecond: 400 };
@@ -34,7 +26,7 @@
     fleet.platform.holdDocuments();
     await fleet.startAll();
     await fleet.clock.advance(5_000);
-    fleet.platform.accept("halloway", createManyLimits("old"));
+    fleet.platform.accept("halloway", createLimits("old", ADDED_LIMITS));
     await fleet.clock.advance(3_000);
     return fleet;
 };
@@ -43,10 +35,10 @@
     it("leaves the way through narrow links to the news of it", async () => {
         const fleet = await startZone();
         const before = new Map(fleet.network.bytes);
-        fleet.platform.accept("halloway", createManyLimits("new"));
+        fleet.platform.accept("halloway", createLimits("new", ADDED_LIMITS));
         await fleet.clock.advance(1_500);
         expectInForceEverywhere(fleet, "halloway");
-        const sizeOfStep = Buffer.byteLength(JSON.stringify(createManyLimits("new")));
+        const sizeOfStep = Buffer.byteLength(JSON.stringify(createLimits("new", ADDED_LIMITS)));
         const carriers = fleet.nodes.flatMap(({ address }, index) =>
             (fleet.network.bytes.get(address.id) ?? 0) - (before.get(address.id) ?? 0) > sizeOfStep ? [index] : []);
         expect(WIDE).to.include.members(carriers);
--- a/packages/oleandergap-distribution/src/__tests__/recordingStore.ts
+++ b/packages/oleandergap-distribution/src/__tests__/recordingStore.ts
@@ -22,6 +22,15 @@
     [WEIGHT_CELL]: 1,
 };
 
+/** Cells of `count` limits named after `name`. */
+export const createLimits = (name: string, count: number): Cells =>
+    Object.fromEntries(Array.from({ length: count }).flatMap((_, number) => [
+        [`limits/${name}-${number}/concurrency`, 4],
+        [`limits/${name}-${number}/queue`, 8],
+        [`limits/${name}-${number}/timeoutMs`, 2_000],
+        [`limits/${name}-${number}/retryRatio`, 0.1],
+    ]));
+
 export const createTestDocument = (partner: PartnerName, sequence: number, cells: Cells): PartnerDocument =>
     ({ partner, sequence, digest: computeDigest(partner, cells), cells });
 
--- a/packages/oleandergap-distribution/src/__tests__/slowDelivery.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/slowDelivery.test.ts
@@ -1,16 +1,9 @@
 import { expect } from "chai";
-import type { CellValue } from "oleandergap-types";
 import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { createLimits } from "./recordingStore.js";
 
 /** Too many for a datagram, so that members pull the step. */
 const CHANGED_LIMITS = 40;
-const MANY_LIMITS: Readonly<Record<string, CellValue>> =
-    Object.fromEntries(Array.from({ length: CHANGED_LIMITS }).flatMap((_, number) => [
-        [`limits/limit-${number}/concurrency`, 4],
-        [`limits/limit-${number}/queue`, 8],
-        [`limits/limit-${number}/timeoutMs`, 2_000],
-        [`limits/limit-${number}/retryRatio`, 0.1],
-    ]));
 
 /** As long as a link may be full of requests. */
 const TROUBLE_MS = 1_000;
@@ -23,7 +16,7 @@
     const fleet = createInMemoryFleet({ zones: 1, nodesPerZone: 12, seed, deliversVersions: () => delivers });
     await fleet.startAll();
     delivers = false;
-    fleet.acceptAt(fleet.node(0), "halloway", MANY_LIMITS);
+    fleet.acceptAt(fleet.node(0), "halloway", createLimits("limit", CHANGED_LIMITS));
     await fleet.clock.advance(TROUBLE_MS);
     delivers = true;
     await fleet.clock.advance(AFTER_TROUBLE_MS);
--- a/packages/oleandergap-distribution/src/__tests__/smallSteps.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/smallSteps.test.ts
@@ -4,19 +4,13 @@
 // Cause: what does not fit into a datagram as text is fetched, and a route takes eight cells.
 // Evidence: of 57 members none had such a step from a datagram; the last one had it 0.85 s after it was told of it.
 import { expect } from "chai";
-import type { CellValue } from "oleandergap-types";
 import { packText, unpackText } from "../datagramText.js";
 import { expectInForceEverywhere } from "./fleetAssertions.js";
 import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { createLimits } from "./recordingStore.js";
 
-const CHANGED_LIMITS = 10;
-const FEW_LIMITS: Readonly<Record<string, CellValue>> =
-    Object.fromEntries(Array.from({ length: CHANGED_LIMITS }).flatMap((_, number) => [
-        [`limits/lookups-${number}/concurrency`, 4],
-        [`limits/lookups-${number}/queue`, 8],
-        [`limits/lookups-${number}/timeoutMs`, 2_000],
-        [`limits/lookups-${number}/retryRatio`, 0.1],
-    ]));
+/** About as many cells as the steps of a run of small changes had. */
+const FEW_LIMITS = createLimits("lookups", 10);
 
 /** Versions that each node took from datagrams. */
 const countFromDatagrams = ({ nodes }: InMemoryFleet): readonly number[] =>
--- a/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
@@ -132,6 +132,16 @@
         }
     };
 
+    /** Each caller asks for `/left` and hangs up before the process reads anything. */
+    const askAndLeave = async (sockets: readonly net.Socket[]): Promise<void> => {
+        for (const socket of sockets) {
+            write(socket, "/left");
+            socket.destroy();
+        }
+        standStill();
+        await sleep(SETTLE_MS);
+    };
+
     /*
      * Symptom: a request is handed to a target almost a second after its caller left.
      * Sequence: a caller sends a request on a connection that it has used before, and hangs up; the node, which has
@@ -151,13 +161,8 @@
             await receiveAnswer(socket);
         }));
         await sleep(SETTLE_MS);
-        for (const socket of sockets) {
-            write(socket, "/left");
-            socket.destroy();
-        }
-        standStill();
-        await sleep(SETTLE_MS);
-        expect(gate.received.filter((path) => path === "/left")).to.deep.equal([]);
+        await askAndLeave(sockets);
+        expect(gate.received).not.to.include("/left");
     });
 
     /*
@@ -198,12 +203,7 @@
         const gate = await startOtherGate();
         const port = await startNodeGateway(gate.port);
         const sockets = await Promise.all(Array.from({ length: CALLERS }, () => openConnection(port)));
-        for (const socket of sockets) {
-            write(socket, "/left");
-            socket.destroy();
-        }
-        standStill();
-        await sleep(SETTLE_MS);
-        expect(gate.received.filter((path) => path === "/left")).to.deep.equal([]);
+        await askAndLeave(sockets);
+        expect(gate.received).not.to.include("/left");
     });
 });
