A gate that refuses the second try does not hold the request up

Found by reading the change of this sitting: since a silent try stays open, a request whose second try was refused at once waited for the first one's second silence, 1.2 s on the platform, before it was sent elsewhere. Change: the first try stays open for the router, which goes on at once; a gate, which has nowhere else to go, awaits it.

--- a/packages/oleandergap-node/src/__tests__/silentGates.test.ts
+++ b/packages/oleandergap-node/src/__tests__/silentGates.test.ts
@@ -1,12 +1,14 @@
 import { expect } from "chai";
-import { createSystemClock } from "oleandergap-utils";
+import { createManualClock, createSystemClock } from "oleandergap-utils";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
 import {
-    call, createAnnouncement, createCleanup, gateHeaders, startGate, startTarget, type Received,
+    call, createAnnouncement, createCleanup, gateHeaders, startGate, startTarget, until, type Received,
 } from "./support.js";
 
 /** Longer than the gateway of these tests waits for a sign, shorter than twice that. */
 const SLOW_MS = 800;
+/** Time after which the gateway of these tests takes a gate for silent. */
+const GATE_SILENCE_MS = 500;
 const HEADERS = { host: HOST, "oleandergap-timeout-ms": "2000" };
 
 describe("a gate that gives no sign of life while its target works", () => {
@@ -111,6 +113,28 @@
         expect(gate.cuts()).to.equal(0);
     });
 
+    it("does not hold the request up when it refused the second try and another gate answers", async () => {
+        const gate = await startSilentGate(undefined);
+        const other = await startTarget(cleanup.add, (request, response) => {
+            response.setHeader("oleandergap-request-id", String(request.headers["oleandergap-request-id"]));
+            response.setHeader("oleandergap-verdict", "ran");
+            response.end("other");
+        });
+        const manual = createManualClock();
+        const targets = [createMember("a", gate.port), createMember("b", other)];
+        const gateway = await startGateway(cleanup.add, { clock: manual, targets });
+        // Until the silent gate was chosen first.
+        let pending = call({ port: gateway.port, headers: HEADERS });
+        while (gate.tries() === 0) {
+            await Promise.race([pending, until(() => gate.tries() > 0)]);
+            if (gate.tries() === 0) {
+                pending = call({ port: gateway.port, headers: HEADERS });
+            }
+        }
+        await manual.advance(GATE_SILENCE_MS);
+        expect((await pending).body.toString()).to.equal("other");
+    });
+
     it("delivers the answers of all runs that go on when it is known to be silent", async () => {
         const gate = await startSilentGate(SLOW_MS, 2);
         const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)] });
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -98,7 +98,7 @@
             instanceId,
         });
         const startedAt = clock.monotonic();
-        const { outcome } = await sendWatched(clock, {
+        const watched = await sendWatched(clock, {
             method: request.method,
             path: request.path,
             body: request.body,
@@ -124,6 +124,8 @@
                 ...dialect.describeRequest(describe(tryId)),
             ],
         });
+        // There is no other target to turn to, so that the try that goes on is awaited.
+        const outcome = await (watched.open?.outcome ?? watched.outcome);
         if (either.isRight(outcome)) {
             latency.add(clock.monotonic() - startedAt);
         }
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -73,7 +73,7 @@
 /** How a request ended for its sender. */
 export interface WatchedOutcome {
     readonly outcome: Outcome;
-    /** Present when the outcome is a silence: the answer may still come, whatever else is tried. */
+    /** Present when the outcome is a silence: the answer of this try may still come, whatever else is tried. */
     readonly open?: OpenTry;
 }
 
@@ -180,23 +180,31 @@
     }
 };
 
-/** The first answer of two tries; if there is none, the failure of the one that may have run. */
-const takeAnswer = async (first: Try, second: Try, request: WatchedRequest): Promise<Outcome> => {
+/** The outcome of a try that is silent and goes on. */
+const leaveOpen = (open: OpenTry): WatchedOutcome => ({
+    outcome: either.left({ kind: "AnswerLost", verdict: "mayHaveRun", detail: DETAILS.Silent }),
+    open,
+});
+
+/** The first answer of two tries. When only the second one fails, the first stays open for whoever tries elsewhere. */
+const takeAnswer = async (first: Try, second: Try, request: WatchedRequest): Promise<WatchedOutcome> => {
     const [earlier, other] = await Promise.race([
         first.outcome.then((outcome) => [outcome, second] as const),
         second.outcome.then((outcome) => [outcome, first] as const),
     ]);
-    const failure = findFailure(earlier, request);
-    if (failure === undefined) {
+    if (findFailure(earlier, request) === undefined) {
         other.cancel();
         void other.outcome.then(discardAnswer);
-        return earlier;
+        return { outcome: earlier };
+    }
+    if (other === first) {
+        discardAnswer(earlier);
+        return leaveOpen(first);
     }
-    const later = await other.outcome;
-    const laterFailure = findFailure(later, request);
-    const isLaterTold = laterFailure === undefined || failure.verdict === "notRun";
-    discardAnswer(isLaterTold ? earlier : later);
-    return isLaterTold ? later : earlier;
+    const later = await second.outcome;
+    const hasRun = findFailure(later, request)?.verdict !== "notRun";
+    discardAnswer(hasRun ? earlier : later);
+    return { outcome: hasRun ? later : earlier };
 };
 
 /** One silence is answered by a second try; the second one in a row is the target's fault. */
@@ -217,8 +225,7 @@
         return { outcome: await first.outcome };
     }
     if (first.isPointless()) {
-        const silent = { kind: "AnswerLost", verdict: "mayHaveRun", detail: DETAILS.Silent } as const;
-        return { outcome: either.left(silent), open: first };
+        return leaveOpen(first);
     }
-    return { outcome: await takeAnswer(first, startTry(clock, request, 1), request) };
+    return takeAnswer(first, startTry(clock, request, 1), request);
 };
