Failing test: one slow holder keeps nodes at an old version for as long as its answer trickles

What callers see: a route that was confirmed seconds ago is answered 404 by nodes that are ready and answer at once. Sequence: a node is told of a version and asks the first who told; that answer trickles over a full link, byte by byte; meanwhile all others hold the version and tell it, and steps in datagrams do not fit the older version in force. Cause: a puller makes one pull at a time (versionPuller.ts, state "Pulling"), which goes on for up to longestMs (10 s) as long as bytes arrive. What others tell meanwhile is noted and waits.

The in-memory fleet can now let an answer travel for a time of its own, or let a holder stay silent.

--- a/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
@@ -1,7 +1,8 @@
 /** A fleet of nodes in one process, on a manual clock: real distribution code over the small fakes beside this file. */
 import * as either from "fp-ts/lib/Either.js";
+import type { Either } from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
-import type { Head, LinkClass, NodeId, PartnerName } from "oleandergap-types";
+import type { Head, LinkClass, Milliseconds, NodeId, PartnerName } from "oleandergap-types";
 import { createLogger } from "oleandergap-logger";
 import { createManualClock, createSeededRandom, pickOne, pickSeveral, type ManualClock } from "oleandergap-utils";
 import { packText } from "../datagramText.js";
@@ -36,6 +37,8 @@
     readonly linkClassOf?: (index: number) => LinkClass;
     /** Whether calls for versions are answered at the moment; those for heads always are. By default they are. */
     readonly deliversVersions?: () => boolean;
+    /** Time for which an answer to a call for a version travels; undefined when the holder stays silent. */
+    readonly answerTimeOf?: (asker: NodeId, holder: NodeId, bytes: number) => Milliseconds | undefined;
 }
 
 /** What a restart replaces. */
@@ -146,17 +149,40 @@
         });
     };
 
-    const deliver = <Answer>(call: TaskEither<PeerError, Answer>): TaskEither<PeerError, Answer> =>
+    const measureAnswer = (answer: unknown): number => packText(JSON.stringify(answer)).length;
+
+    const carry = async <Answer>(
+        call: TaskEither<PeerError, Answer>,
+        asker: PeerAddress,
+        holder: PeerAddress,
+    ): Promise<Either<PeerError, Answer>> => {
+        const answer = await call();
+        const { answerTimeOf = () => 0 } = plan;
+        const time = answerTimeOf(asker.id, holder.id, measureAnswer(answer));
+        if (time !== 0) {
+            await new Promise<void>((resolve) => {
+                clock.after(time ?? options.peer.timeoutMs, resolve);
+            });
+        }
+        return time === undefined ? either.left({ kind: "Unreachable", detail: "silent" }) : answer;
+    };
+
+    const deliver = <Answer>(
+        call: TaskEither<PeerError, Answer>,
+        asker: PeerAddress,
+        holder: PeerAddress,
+    ): TaskEither<PeerError, Answer> =>
         plan.deliversVersions?.() === false ?
             async () => either.left({ kind: "Unreachable", detail: "overloaded" }) :
-            call;
+            () => carry(call, asker, holder);
 
     const createPeers = (self: PeerAddress): PeerPort => ({
         ping: (to) => network.call(self, to, undefined, () => createCaller(to).ping()),
         heads: (to) => network.call(self, to, undefined, () => createCaller(to).heads()),
         deltasSince: (to, query) =>
-            deliver(network.call(self, to, query, () => createCaller(to).deltasSince(query))),
-        document: (to, query) => deliver(network.call(self, to, query, () => createCaller(to).document(query))),
+            deliver(network.call(self, to, query, () => createCaller(to).deltasSince(query)), self, to),
+        document: (to, query) =>
+            deliver(network.call(self, to, query, () => createCaller(to).document(query)), self, to),
     });
 
     const createOutlet = (self: PeerAddress): SpreadOutlet => ({
--- /dev/null
+++ b/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
@@ -0,0 +1,32 @@
+import { expect } from "chai";
+import type { NodeId } from "oleandergap-types";
+import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { createLimits } from "./recordingStore.js";
+
+/** Time in which a confirmed version is to be in force at every node that can be reached. */
+const LONGEST_MS = 2_500;
+/** Too many for a datagram, so that members pull the step. */
+const CHANGED_LIMITS = createLimits("limit", 150);
+const NODES = 12;
+
+const listBehind = (fleet: InMemoryFleet): readonly NodeId[] => {
+    const informed = fleet.informed("halloway");
+    return fleet.nodes.filter((node) => !informed.includes(node)).map(({ address }) => address.id);
+};
+
+describe("a version that some holders deliver slowly or not at all", () => {
+    it("is in force in time although the first holder's answer trickles", async () => {
+        const findFirst = (): NodeId | undefined => fleet.sent.find(({ message }) => message.kind === "Offer")?.to;
+        const fleet: InMemoryFleet = createInMemoryFleet({
+            zones: 1,
+            nodesPerZone: NODES,
+            seed: 1,
+            answerTimeOf: (_asker, holder) => holder === findFirst() ? 3 * LONGEST_MS : 0,
+        });
+        await fleet.startAll();
+        fleet.acceptAt(fleet.node(0), "halloway", CHANGED_LIMITS);
+        await fleet.clock.advance(LONGEST_MS);
+        expect(listBehind(fleet)).to.deep.equal([]);
+        fleet.stop();
+    });
+});
