Failing test: two silent holders are asked in turn while a third one that answers is not asked

What callers see: a route that was confirmed seconds ago is answered 404 by a node that is ready and answers at once. Sequence: a node is told of a version by one holder that does not answer, by three that would, then by two more that do not (dead a moment ago, or behind a full link). It asks the last two in turn, a second each, three times each. Cause: chooseAttempt (versionPuller.ts) takes the first claim whose source has not failed last; with two silent ones in front it alternates between them until both claims are dropped. Claims that were never tried do not go before.

With the wait prolonged, the node asks node-1, 3, 2, 3, 2, 3, 2 and then node-6, which has held the version all the while, and has it in force after 8,220 ms.

--- a/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { NodeId } from "oleandergap-types";
-import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { createInMemoryFleet, type FleetNode, type InMemoryFleet } from "./inMemoryFleet.js";
 import { createLimits } from "./recordingStore.js";
 
 /** Time in which a confirmed version is to be in force at every node that can be reached. */
@@ -29,4 +29,29 @@
         expect(listBehind(fleet)).to.deep.equal([]);
         fleet.stop();
     });
+
+    it("is in force in time although those who told of it last stay silent", async () => {
+        const silent = ["node-1", "node-2", "node-3"];
+        let isPartSilent = false;
+        const fleet = createInMemoryFleet({
+            zones: 1,
+            nodesPerZone: NODES,
+            seed: 1,
+            probes: false,
+            answerTimeOf: (_asker, holder) => isPartSilent && silent.includes(holder) ? undefined : 0,
+        });
+        await fleet.startAll();
+        const late = fleet.node(NODES - 1);
+        fleet.network.setCut((from, to) => [from.id, to.id].includes(late.address.id));
+        fleet.acceptAt(fleet.node(0), "halloway", CHANGED_LIMITS);
+        await fleet.clock.advance(LONGEST_MS);
+        expect(listBehind(fleet)).to.deep.equal([late.address.id]);
+        fleet.network.setCut(() => false);
+        isPartSilent = true;
+        const tell = ({ address, store }: FleetNode): void => late.spread.receiveHeads(address, store.heads());
+        [1, 4, 5, 6, 2, 3].map(fleet.node).forEach(tell);
+        await fleet.clock.advance(LONGEST_MS);
+        expect(listBehind(fleet)).to.deep.equal([]);
+        fleet.stop();
+    });
 });
