Failing test: a node one step behind waits for a whole version from a member that has just started

What callers see: a route that was confirmed seconds ago is answered 404 by a node that is ready and answers at once. Sequence: a member starts anew and holds the version whole, without the step to it; it is the first to tell a node that lacks one small step; its answer is the whole version and trickles, while four others that hold the step tell too. Cause: answerDeltas (peerRouter.ts) answers with the whole document where the history is too short; the asker cannot refuse it, and makes no other pull until it is over (versionPuller.ts, state "Pulling", up to longestMs).

--- a/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
@@ -1,13 +1,15 @@
 import { expect } from "chai";
 import type { NodeId } from "oleandergap-types";
 import { createInMemoryFleet, type FleetNode, type InMemoryFleet } from "./inMemoryFleet.js";
-import { createLimits } from "./recordingStore.js";
+import { createLimits, WEIGHT_CELL } from "./recordingStore.js";
 
 /** Time in which a confirmed version is to be in force at every node that can be reached. */
 const LONGEST_MS = 2_500;
 /** Too many for a datagram, so that members pull the step. */
 const CHANGED_LIMITS = createLimits("limit", 150);
 const NODES = 12;
+/** More than an answer with a small step takes, and less than one with a whole version. */
+const LONGEST_STEP_BYTES = 1_000;
 
 const listBehind = (fleet: InMemoryFleet): readonly NodeId[] => {
     const informed = fleet.informed("halloway");
@@ -54,4 +56,32 @@
         expect(listBehind(fleet)).to.deep.equal([]);
         fleet.stop();
     });
+
+    it("is in force in time although a member without its step tells of it first", async () => {
+        let isSlow = false;
+        const fleet = createInMemoryFleet({
+            zones: 1,
+            nodesPerZone: NODES,
+            seed: 2,
+            probes: false,
+            answerTimeOf: (_asker, _holder, bytes) => isSlow && bytes > LONGEST_STEP_BYTES ? 3 * LONGEST_MS : 0,
+        });
+        fleet.platform.accept("halloway", CHANGED_LIMITS);
+        await fleet.startAll();
+        const late = fleet.node(NODES - 1);
+        const started = fleet.node(NODES - 2);
+        fleet.network.setCut((from, to) => [from.id, to.id].includes(late.address.id));
+        fleet.acceptAt(fleet.node(0), "halloway", { [WEIGHT_CELL]: 2 });
+        fleet.kill(started);
+        fleet.restart(started);
+        await fleet.clock.advance(LONGEST_MS);
+        expect(listBehind(fleet)).to.deep.equal([late.address.id]);
+        fleet.network.setCut(() => false);
+        isSlow = true;
+        const tell = ({ address, store }: FleetNode): void => late.spread.receiveHeads(address, store.heads());
+        [NODES - 2, 0, 1, 2, 3].map(fleet.node).forEach(tell);
+        await fleet.clock.advance(LONGEST_MS);
+        expect(listBehind(fleet)).to.deep.equal([]);
+        fleet.stop();
+    });
 });
