A silent or slow holder of a version does not keep a node behind: others are asked as well

What callers saw: a route that had been confirmed 4.6 s before was answered 404 by a node that was ready and quick.

Cause: a node asked one source at a time for a version. A silent one held it up for a second, an answer that trickled for up to ten, two silent ones that told last were asked in turn three times each, and a member that had just started was waited for with the whole version, while others held the step.

Change: when no answer has come for 300 ms (pull.answerPatienceMs), another source is asked too, up to three at once; the earlier questions go on, the first that delivers ends those whose answers bring nothing more. pullsUnderWay.ts keeps the questions, choosePull.ts the choice.

--- a/packages/oleandergap-distribution/src/options.ts
+++ b/packages/oleandergap-distribution/src/options.ts
@@ -25,6 +25,8 @@
     timeoutMs: milliseconds(50, 60_000).default(1_000),
     /** Time that one pull may take before another peer is tried, if the peer's answer keeps arriving. */
     longestMs: milliseconds(50, 60_000).default(10_000),
+    /** Time after which another source is asked too, if none has delivered; several times what an answer takes. */
+    answerPatienceMs: milliseconds(10, 60_000).default(300),
     /** Time that one read of the platform may take. */
     platformTimeoutMs: milliseconds(50, 60_000).default(2_000),
     /** Bound of the random wait after the first failure; doubles with each further one. */
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -1,13 +1,20 @@
-/** Brings one partner's version forward, one pull at a time, from whoever claims to hold a newer one. */
-import * as either from "fp-ts/lib/Either.js";
+/**
+ * Brings one partner's version forward from whoever claims to hold a newer one.
+ *
+ * A source may be silent, or its answer may trickle over a link that is full. If nobody else were asked meanwhile, a
+ * node would stay behind for as long as that lasts, though others hold the version; so another one is asked when no
+ * answer has come for a while, and the earlier questions go on.
+ */
 import type { Logger } from "oleandergap-logger";
 import type { CancelTimer, Clock, Milliseconds, PartnerName, Sequence } from "oleandergap-types";
-import { drawBackoff, pickOne, type Random } from "oleandergap-utils";
+import { drawBackoff, type Random } from "oleandergap-utils";
 import type { Arrivals } from "./arrivals.js";
+import { choosePull } from "./choosePull.js";
 import { createClaimBook, formatClaimSource, type Claim, type ClaimSource } from "./claimBook.js";
 import type { PullOptions } from "./options.js";
 import type { ConfigurationStorePort, PeerAddress } from "./ports.js";
 import { startTimer } from "./periodic.js";
+import { createPullsUnderWay, type PullAttempt } from "./pullsUnderWay.js";
 import type { ReadBudget } from "./readBudget.js";
 import type { SpreadCounters } from "./statistics.js";
 import type { FetchFailure, FetchVersion } from "./versionFetcher.js";
@@ -41,43 +48,28 @@
 
 type PullerState =
     | { readonly kind: "Idle" }
-    | { readonly kind: "Pulling" }
-    /** After a failure, or for want of budget. */
+    /** At least one question is under way; the timer ends the patience with it. */
+    | { readonly kind: "Pulling"; readonly cancel: CancelTimer }
+    /** After a failure, or for want of budget; other questions may be under way. */
     | { readonly kind: "Waiting"; readonly cancel: CancelTimer }
     /** A peer told a head that this node is about to hear from the platform. */
     | { readonly kind: "Patient"; readonly cancel: CancelTimer };
 
-/** One question to one source; `claim` is what this source told, if it told anything. */
-interface PullAttempt {
-    readonly source: ClaimSource;
-    readonly claim: Claim | undefined;
-}
-
 const formatFailure = (failure: FetchFailure): string =>
     "detail" in failure ? `${failure.kind}: ${failure.detail}` : failure.kind;
 
 /** Longest exponent of the back-off; the bound is reached before it. */
 const MAX_BACKOFF_EXPONENT = 16;
+/** Sources that are asked at the same time: two of them may be dead or behind full links. */
+const MAX_PULLS_AT_ONCE = 3;
 
 /**
  * Creates the puller of one partner. Partners have separate pullers, so that a pull of one that is stuck never delays
  * the other.
  */
-export const createVersionPuller = ({
-    partner,
-    store,
-    fetchVersion,
-    otherPeers,
-    budget,
-    arrivals,
-    followsPlatform,
-    clock,
-    random,
-    logger,
-    options,
-    counters,
-    signal,
-}: VersionPullerDependencies): VersionPuller => {
+export const createVersionPuller = (dependencies: VersionPullerDependencies): VersionPuller => {
+    const { partner, store, fetchVersion, otherPeers, budget, arrivals, followsPlatform } = dependencies;
+    const { clock, random, logger, options, counters, signal } = dependencies;
     const book = createClaimBook({ clock, options });
     let state: PullerState = { kind: "Idle" };
     let failuresInARow = 0;
@@ -85,24 +77,7 @@
 
     const sequence = (): Sequence => store.document(partner).sequence;
 
-    const hasNotFailedLast = (source: ClaimSource): boolean => formatClaimSource(source) !== lastFailed;
-
-    /**
-     * Whoever told the highest head goes first. After a failure somebody else is asked, or one silent or lying peer
-     * could hold a node back for as long as it keeps telling higher heads.
-     */
-    const chooseAttempt = (): PullAttempt | undefined => {
-        const claims = book.claims();
-        const next = claims.find((claim) => hasNotFailedLast(claim.source));
-        if (next !== undefined || claims.length === 0) {
-            return next && { source: next.source, claim: next };
-        }
-        const other = pickOne(random, otherPeers().filter((peer) => peer.id !== lastFailed));
-        const last = claims[0];
-        return other === undefined ?
-            last && { source: last.source, claim: last } :
-            { source: { kind: "Peer", peer: other }, claim: undefined };
-    };
+    const hasFailedLast = (source: ClaimSource): boolean => formatClaimSource(source) === lastFailed;
 
     const waitBefore = (delay: number): void => {
         state = { kind: "Waiting", cancel: startTimer(clock, signal, delay, pullNext) };
@@ -137,39 +112,59 @@
         waitBefore(drawBackoff(random, exponent, options.backoffBaseMs, options.backoffMaximumMs));
     };
 
-    const pullFrom = async (attempt: PullAttempt): Promise<void> => {
-        counters.pulls += 1;
-        const timeoutMs = attempt.source.kind === "Peer" ? options.longestMs : options.platformTimeoutMs;
-        const startedAt = clock.monotonic();
-        const outcome = await fetchVersion(partner, attempt.source, { clock, timeoutMs, signal });
-        if (either.isLeft(outcome)) {
-            noteFailure(attempt, outcome.left, startedAt);
-            return;
-        }
-        failuresInARow = 0;
-        lastFailed = undefined;
-        pullNext();
-    };
+    const underWay = createPullsUnderWay({
+        clock,
+        ask: ({ source }, pullSignal) => {
+            counters.pulls += 1;
+            const timeoutMs = source.kind === "Peer" ? options.longestMs : options.platformTimeoutMs;
+            return fetchVersion(partner, source, { clock, timeoutMs, signal: pullSignal });
+        },
+        onDelivered: () => {
+            failuresInARow = 0;
+            lastFailed = undefined;
+            cancelTimer();
+            pullNext();
+        },
+        onFailed: (attempt, failure, startedAt) => {
+            cancelTimer();
+            noteFailure(attempt, failure, startedAt);
+        },
+        signal,
+    });
+
+    const startPatience = (): CancelTimer =>
+        underWay.size() < MAX_PULLS_AT_ONCE ?
+            startTimer(clock, signal, options.answerPatienceMs, pullNext) :
+            () => undefined;
 
     const pullNext = (): void => {
         state = { kind: "Idle" };
         book.settle(store.isWanted);
-        const attempt = chooseAttempt();
-        if (signal.aborted || attempt === undefined) {
-            failuresInARow = 0;
+        underWay.giveUpUnless(store.isWanted);
+        const attempt = underWay.size() < MAX_PULLS_AT_ONCE ?
+            choosePull({ claims: book.claims(), isAsked: underWay.isAsked, hasFailedLast, otherPeers, random }) :
+            undefined;
+        if (attempt !== undefined && !signal.aborted) {
+            underWay.start(attempt);
+        }
+        if (underWay.size() > 0) {
+            state = { kind: "Pulling", cancel: startPatience() };
             return;
         }
-        state = { kind: "Pulling" };
-        void pullFrom(attempt);
+        failuresInARow = 0;
     };
 
-    const cancelWait = (): void => {
-        if (state.kind === "Waiting" || state.kind === "Patient") {
+    const cancelTimer = (): void => {
+        if (state.kind !== "Idle") {
             state.cancel();
-            state = { kind: "Idle" };
         }
     };
 
+    const cancelWait = (): void => {
+        cancelTimer();
+        state = { kind: "Idle" };
+    };
+
     const startPulling = (isFromPlatform: boolean): void => {
         if (isFromPlatform || options.peerPatienceMs === 0 || !followsPlatform()) {
             pullNext();
@@ -186,7 +181,7 @@
             arrivals.noteHeard(claim.head);
             const isNews = book.note(claim);
             const isFromPlatform = claim.source.kind === "Platform";
-            const endsWait = state.kind === "Waiting" && isNews && hasNotFailedLast(claim.source);
+            const endsWait = state.kind === "Waiting" && isNews && !hasFailedLast(claim.source);
             if ((state.kind === "Patient" && isFromPlatform) || endsWait) {
                 cancelWait();
             }
