--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -57,6 +57,7 @@
     readonly maxBodyBytes?: number;
     readonly callerSignals?: CallerSignals;
     readonly findOwnerRouter?: FindOwnerRouter;
+    readonly gateSilenceMs?: number;
     readonly turns?: ListenerOptions["turns"];
 }
 
@@ -87,7 +88,7 @@
             localLoad: () => undefined,
             nextAttemptId: () => `attempt-${++attempts}`,
             connectionsPerNode: 8,
-            gateSilenceMs: 500,
+            gateSilenceMs: options.gateSilenceMs ?? 500,
             bodySilenceMs: 30_000,
             logSilence: () => undefined,
         }),
