A failing test: a silence is told although a sign of life has arrived

Sequence: a sign arrives while the process stands still; its timers run before it reads what has arrived. On: expected one try, but got 2.

--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/unreadSigns.test.ts
@@ -0,0 +1,72 @@
+import type { ServerResponse } from "node:http";
+import { expect } from "chai";
+import type { Clock, Milliseconds } from "oleandergap-types";
+import { createMember, HOST, startGateway } from "./gatewaySupport.js";
+import { call, createCleanup, startTarget, until } from "./support.js";
+
+const GATE_SILENCE_MS = 500;
+/** Turns in which another try would arrive. */
+const TURNS = 100;
+
+interface Timer {
+    readonly due: Milliseconds;
+    readonly callback: () => void;
+}
+
+interface BlockedClock extends Clock {
+    /** Lets time pass while the process stands still, and runs timers before anything that has arrived is read. */
+    readonly block: (duration: Milliseconds) => void;
+}
+
+const createBlockedClock = (): BlockedClock => {
+    let time = 0;
+    const timers = new Set<Timer>();
+    return {
+        now: () => time,
+        monotonic: () => time,
+        after: (delay, callback) => {
+            const timer = { due: time + delay, callback };
+            timers.add(timer);
+            return () => {
+                timers.delete(timer);
+            };
+        },
+        sleep: () => Promise.resolve(),
+        block: (duration) => {
+            time += duration;
+            for (const timer of [...timers].filter(({ due }) => due <= time)) {
+                timers.delete(timer);
+                timer.callback();
+            }
+        },
+    };
+};
+
+describe("a gateway that was behind with its events", () => {
+    const cleanup = createCleanup();
+
+    afterEach(() => cleanup.run());
+
+    // Guards against a silence that is told although a sign has arrived, and only waits to be read.
+    it("reads the signs that have arrived before it takes a gate for silent", async () => {
+        const tries: ServerResponse[] = [];
+        const port = await startTarget(cleanup.add, (request, response) => {
+            response.setHeader("oleandergap-request-id", String(request.headers["oleandergap-request-id"]));
+            response.setHeader("oleandergap-verdict", "ran");
+            tries.push(response);
+        });
+        const clock = createBlockedClock();
+        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", port)] });
+        const answer = call({ port: gateway.port, headers: { host: HOST, "oleandergap-timeout-ms": "10000" } });
+        await until(() => tries.length === 1);
+        clock.block(GATE_SILENCE_MS - 100);
+        tries[0]?.writeProcessing();
+        clock.block(200);
+        for (let turn = 0; turn < TURNS; turn++) {
+            await new Promise<void>((resolve) => setImmediate(resolve));
+        }
+        tries[0]?.end("run");
+        expect(await answer).to.include({ statusCode: 200 });
+        expect(tries).to.have.lengthOf(1);
+    });
+});
