A failing test: the second try's run is cut by its first silence

Callers of reads are told 502 while the target runs them. Sequence: a connection swallows the first try; the second one arrives and runs, and its signs of life are late; it is closed after one silence, and the first after its second one, at the same moment. On: expected statusCode 200, but got 502, twice the longest silence after the request was sent.

--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/secondTries.test.ts
@@ -0,0 +1,49 @@
+import type { ServerResponse } from "node:http";
+import { expect } from "chai";
+import { createManualClock } from "oleandergap-utils";
+import { createMember, HOST, startGateway } from "./gatewaySupport.js";
+import { call, createCleanup, startTarget, until, type Received } from "./support.js";
+
+const GATE_SILENCE_MS = 500;
+const HEADERS = { host: HOST, "oleandergap-timeout-ms": "10000" };
+
+describe("two tries at one gate", () => {
+    const cleanup = createCleanup();
+
+    afterEach(() => cleanup.run());
+
+    interface Gate {
+        readonly port: number;
+        /** Tries that arrived, to be answered by the test. */
+        readonly tries: readonly ServerResponse[];
+    }
+
+    const startGate = async (): Promise<Gate> => {
+        const tries: ServerResponse[] = [];
+        const port = await startTarget(cleanup.add, (request, response) => {
+            response.setHeader("oleandergap-request-id", String(request.headers["oleandergap-request-id"]));
+            response.setHeader("oleandergap-verdict", "ran");
+            tries.push(response);
+        });
+        return { port, tries };
+    };
+
+    const ask = async (gate: Gate, clock = createManualClock()): Promise<{ readonly answer: Promise<Received> }> => {
+        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)] });
+        const answer = call({ port: gateway.port, headers: HEADERS });
+        await until(() => gate.tries.length === 1);
+        await clock.advance(GATE_SILENCE_MS);
+        await until(() => gate.tries.length === 2);
+        return { answer };
+    };
+
+    // Guards against a run that is cut by its first silence, since it is the second try's.
+    it("are answered by the second one although its signs of life are late", async () => {
+        const clock = createManualClock();
+        const gate = await startGate();
+        const { answer } = await ask(gate, clock);
+        await clock.advance(GATE_SILENCE_MS);
+        gate.tries[1]?.end("run");
+        expect(await answer).to.include({ statusCode: 200 });
+    });
+});
