A failing test: a run is cut by a second silence although no other answer can come

Callers of reads with time left are told 502 while the target runs them. Sequence: a probe's gate gives no sign for 600 ms; elsewhere the request is refused; after 600 ms more without a sign the open attempt is closed, and with it the run, although nothing is left to wait for.

--- a/packages/oleandergap-node/src/__tests__/lateSigns.test.ts
+++ b/packages/oleandergap-node/src/__tests__/lateSigns.test.ts
@@ -184,4 +184,14 @@
         expect(await answer).to.include({ statusCode: 200 });
         expect(scene.cuts()).to.equal(0);
     });
+
+    // Guards against a run that is cut, before its deadline, although no other answer can come any more.
+    it("is answered after a second silence when the request is refused elsewhere", async () => {
+        const scene = await startScene();
+        const { answer } = await startProbe(scene, refuse);
+        await scene.clock.advance(PROBE_SILENCE_MS);
+        scene.runs[0]?.end("run");
+        expect(await answer).to.include({ statusCode: 200 });
+        expect(scene.cuts()).to.equal(0);
+    });
 });
