--- a/packages/oleandergap-node/src/__tests__/unreadSigns.test.ts
+++ b/packages/oleandergap-node/src/__tests__/unreadSigns.test.ts
@@ -2,9 +2,10 @@
 import { expect } from "chai";
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
-import { call, createCleanup, startTarget, until } from "./support.js";
+import { call, createCleanup, startTarget, until, type Received } from "./support.js";
 
 const GATE_SILENCE_MS = 500;
+const TIMEOUT_MS = 10_000;
 /** Turns in which another try would arrive. */
 const TURNS = 100;
 
@@ -47,8 +48,14 @@
 
     afterEach(() => cleanup.run());
 
-    // Guards against a silence that is told although a sign has arrived, and only waits to be read.
-    it("reads the signs that have arrived before it takes a gate for silent", async () => {
+    interface Scene {
+        readonly clock: BlockedClock;
+        readonly tries: readonly ServerResponse[];
+        readonly answer: Promise<Received>;
+    }
+
+    /** A gateway whose request has reached its gate. */
+    const startScene = async (): Promise<Scene> => {
         const tries: ServerResponse[] = [];
         const port = await startTarget(cleanup.add, (request, response) => {
             response.setHeader("oleandergap-request-id", String(request.headers["oleandergap-request-id"]));
@@ -57,16 +64,34 @@
         });
         const clock = createBlockedClock();
         const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", port)] });
-        const answer = call({ port: gateway.port, headers: { host: HOST, "oleandergap-timeout-ms": "10000" } });
+        const answer = call({ port: gateway.port, headers: { host: HOST, "oleandergap-timeout-ms": String(TIMEOUT_MS) } });
         await until(() => tries.length === 1);
-        clock.block(GATE_SILENCE_MS - 100);
-        tries[0]?.writeProcessing();
-        clock.block(200);
+        return { clock, tries, answer };
+    };
+
+    const passTurns = async (): Promise<void> => {
         for (let turn = 0; turn < TURNS; turn++) {
             await new Promise<void>((resolve) => setImmediate(resolve));
         }
+    };
+
+    // Guards against a silence that is told although a sign has arrived, and only waits to be read.
+    it("reads the signs that have arrived before it takes a gate for silent", async () => {
+        const { clock, tries, answer } = await startScene();
+        clock.block(GATE_SILENCE_MS - 100);
+        tries[0]?.writeProcessing();
+        clock.block(200);
+        await passTurns();
         tries[0]?.end("run");
         expect(await answer).to.include({ statusCode: 200 });
         expect(tries).to.have.lengthOf(1);
     });
+
+    // Guards against an answer that is given up at the deadline although it has arrived.
+    it("delivers an answer that has arrived before the deadline", async () => {
+        const { clock, tries, answer } = await startScene();
+        tries[0]?.end("run");
+        clock.block(TIMEOUT_MS + 1);
+        expect(await answer).to.include({ statusCode: 200 });
+    });
 });
--- a/packages/oleandergap-node/src/http/loopLag.ts
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -6,6 +6,7 @@
  * therefore reads what else has arrived before it hands a request on.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
+import { waitTurns } from "./waitTurns.js";
 
 /** Distance of two looks while requests come. */
 const LOOK_INTERVAL_MS: Milliseconds = 50;
@@ -28,11 +29,6 @@
     readonly catchUp: () => Promise<void> | undefined;
 }
 
-const nextTurn = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
-
-/** Reads sockets once between two turns; data and the end of one socket need two. */
-const TURNS_TO_CATCH_UP = 2;
-
 /** A pause that is long enough to hurt requests, and to be told to operators. */
 const NOTEWORTHY_MS: Milliseconds = 250;
 
@@ -45,7 +41,7 @@
     readonly turn?: () => Promise<void>;
 }
 
-export const createLoopLag = ({ clock, onPause, turn = nextTurn }: LoopLagOptions): LoopLag => {
+export const createLoopLag = ({ clock, onPause, turn }: LoopLagOptions): LoopLag => {
     let behindUntil = Number.NEGATIVE_INFINITY;
     /** When the next look is due. */
     let dueAt = Number.POSITIVE_INFINITY;
@@ -83,17 +79,11 @@
         }
     };
 
-    const waitTurns = async (): Promise<void> => {
-        for (let count = 0; count < TURNS_TO_CATCH_UP; count++) {
-            await turn();
-        }
-    };
-
     return {
         start: look,
         catchUp: () => {
             askedAt = clock.monotonic();
-            return isBehind(askedAt) ? waitTurns() : undefined;
+            return isBehind(askedAt) ? waitTurns(turn) : undefined;
         },
     };
 };
