The second try at a silent gate goes on like the first

What callers saw: a read was answered 502 while its target worked on it.

Cause: after a silence a read is sent again to the same gate. The first try went on until its second silence, the second ended at its first, though it is the one that runs when the first was swallowed by a dead connection.

Change: each try is given up once nothing was heard of it for the time after which a connection counts as lost, twice the patience. When the second try is silent or refused too, the request goes elsewhere and both go on beside it (sendWatched, joinTries); the failure that is told covers both.

Before: 502, twice the longest silence after the request was sent.

--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -34,6 +34,9 @@
 
 type Outcome = Either<RequestFailure, Answer>;
 
+/** A target that is silent for so many times what is unusual does not answer on that connection any more. */
+const LOSS_FACTOR = 2;
+
 const refuseWithoutTarget: RequestFailure = {
     kind: "Refused",
     verdict: "notRun",
@@ -98,6 +101,7 @@
             instanceId,
         });
         const startedAt = clock.monotonic();
+        const silenceMs = request.idempotent ? silenceLimit(request) : undefined;
         const watched = await sendWatched(clock, {
             method: request.method,
             path: request.path,
@@ -108,7 +112,8 @@
             deadline: request.deadline,
             signal: request.signal,
             idempotent: request.idempotent,
-            silenceMs: request.idempotent ? silenceLimit(request) : undefined,
+            silenceMs,
+            lossMs: silenceMs && silenceMs * LOSS_FACTOR,
             takeDispatcher: () => pools.take(address, port, connections),
             renewConnections: () => pools.renew(address, port),
             nextRequestId: () => {
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -6,9 +6,9 @@
  * therefore tried once more over a new connection to the same target, and only a second silence is the target's fault.
  * If the target was silent to others already, there is no second try, which would hold the request up for nothing.
  *
- * The first try stays open meanwhile. Signs of life are late as well when the other process is behind with its events
- * or a link is full, while the target works on the request; closed at the first silence, such runs would be cut, and
- * their callers told of a loss, whenever the second try is refused.
+ * Both tries stay open meanwhile. Signs of life are late as well when the other process is behind with its events or a
+ * link is full, while the target works on the request; closed at its first silence, either of them may be a run that is
+ * cut, and its caller told of a loss. A connection counts as lost only after a longer time without any sign.
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
@@ -44,8 +44,10 @@
     /** Monotonic time at which the request is given up unless an answer has begun. */
     readonly deadline: Milliseconds;
     readonly signal: AbortSignal;
-    /** Longest time without any sign from the other side; undefined when the deadline alone counts. */
+    /** Time without any sign after which the request is tried again; undefined when the deadline alone counts. */
     readonly silenceMs: Milliseconds | undefined;
+    /** Time without any sign after which an idempotent try is given up; at least as long. */
+    readonly lossMs: Milliseconds | undefined;
     readonly idempotent: boolean;
     /** A sign of life came. */
     readonly onSign?: () => void;
@@ -63,7 +65,7 @@
 
 type Outcome = Either<RequestFailure, Answer>;
 
-/** A try that has been silent, and goes on until it is silent once more. */
+/** What goes on after a silence, until an answer comes or the connection counts as lost. */
 export interface OpenTry {
     /** Never rejects. */
     readonly outcome: Promise<Outcome>;
@@ -73,7 +75,7 @@
 /** How a request ended for its sender. */
 export interface WatchedOutcome {
     readonly outcome: Outcome;
-    /** Present when the outcome is a silence: the answer of this try may still come, whatever else is tried. */
+    /** Present when the outcome is a silence: an answer may still come, whatever else is tried. */
     readonly open?: OpenTry;
 }
 
@@ -82,6 +84,7 @@
 interface Try extends OpenTry {
     /** Resolves at the first silence, never if there is none. */
     readonly silence: Promise<"Silent">;
+    readonly hasEnded: () => boolean;
     /** Whether the target was known to be silent already, so that the connection is not at fault. */
     readonly isPointless: () => boolean;
 }
@@ -100,13 +103,20 @@
         outcome;
 };
 
-/** Starts a try that ends after `mostSilences` in a row. */
-const startTry = (clock: Clock, request: WatchedRequest, mostSilences: number): Try => {
+/** A request that must not run twice waits for its deadline: nobody can tell whether it arrived. */
+const findLossTime = ({ idempotent, lossMs }: WatchedRequest): Milliseconds =>
+    idempotent && lossMs !== undefined ? lossMs : Number.POSITIVE_INFINITY;
+
+/** Starts a try that is given up once nothing was heard of it for the time after which a connection counts as lost. */
+const startTry = (clock: Clock, request: WatchedRequest): Try => {
     const { signal } = request;
+    const lossMs = findLossTime(request);
     let ending: Ending = "Open";
+    let hasEnded = false;
     let isPointless = false;
     let signs = 0;
-    let silences = 0;
+    let wasSilent = false;
+    let heardAt = clock.monotonic();
     let tellSilence: (silence: "Silent") => void = () => undefined;
     const silence = new Promise<"Silent">((resolve) => {
         tellSilence = resolve;
@@ -120,11 +130,11 @@
     };
     const cancel = (): void => end("Cancelled");
     const onSilence = (lateMs: Milliseconds): void => {
-        silences += 1;
-        if (silences >= mostSilences) {
+        if (clock.monotonic() - heardAt >= lossMs) {
             end("Silent");
         }
-        if (silences === 1) {
+        if (!wasSilent) {
+            wasSilent = true;
             request.renewConnections();
             isPointless = request.onSilence?.({ signs, lateMs }) ?? false;
             tellSilence("Silent");
@@ -153,7 +163,8 @@
         onInformation: () => {
             watch.heard();
             signs += 1;
-            silences = 0;
+            wasSilent = false;
+            heardAt = clock.monotonic();
             request.onSign?.();
         },
     });
@@ -163,11 +174,12 @@
     }
 
     const outcome = exchange.outcome.then((ended) => {
+        hasEnded = true;
         watch.stop();
         signal.removeEventListener("abort", cancel);
         return nameReason(ended, ending);
     });
-    return { outcome, cancel, silence, isPointless: () => isPointless };
+    return { outcome, cancel, silence, hasEnded: () => hasEnded, isPointless: () => isPointless };
 };
 
 /** A refusal of the other side comes as an answer; taken for one, it would promise too much of an earlier try. */
@@ -186,8 +198,8 @@
     open,
 });
 
-/** The first answer of two tries. When only the second one fails, the first stays open for whoever tries elsewhere. */
-const takeAnswer = async (first: Try, second: Try, request: WatchedRequest): Promise<WatchedOutcome> => {
+/** The first answer of two tries; when both fail, the failure that covers them. */
+const takeAnswer = async (first: OpenTry, second: OpenTry, request: WatchedRequest): Promise<Outcome> => {
     const [earlier, other] = await Promise.race([
         first.outcome.then((outcome) => [outcome, second] as const),
         second.outcome.then((outcome) => [outcome, first] as const),
@@ -195,25 +207,32 @@
     if (findFailure(earlier, request) === undefined) {
         other.cancel();
         void other.outcome.then(discardAnswer);
-        return { outcome: earlier };
-    }
-    if (other === first) {
-        discardAnswer(earlier);
-        return leaveOpen(first);
+        return earlier;
     }
-    const later = await second.outcome;
+    const later = await other.outcome;
     const hasRun = findFailure(later, request)?.verdict !== "notRun";
     discardAnswer(hasRun ? earlier : later);
-    return { outcome: hasRun ? later : earlier };
+    return hasRun ? later : earlier;
 };
 
-/** One silence is answered by a second try; the second one in a row is the target's fault. */
-const MOST_SILENCES = 2;
+const joinTries = (first: OpenTry, second: OpenTry, request: WatchedRequest): OpenTry => ({
+    outcome: takeAnswer(first, second, request),
+    cancel: () => {
+        first.cancel();
+        second.cancel();
+    },
+});
+
+/** Resolves when the second try at a target does not help either, while one of the two goes on. */
+const waitUntilStuck = async (first: Try, second: Try, request: WatchedRequest): Promise<"Silent"> => {
+    const failed = second.outcome.then((outcome) =>
+        findFailure(outcome, request) === undefined || first.hasEnded() ? new Promise<never>(() => undefined) : "Silent");
+    return Promise.race([second.silence, failed]);
+};
 
 /** Sends `request`; twice at most, and only if it is idempotent. Never rejects. */
 export const sendWatched = async (clock: Clock, request: WatchedRequest): Promise<WatchedOutcome> => {
-    // A request that must not run twice waits for its deadline: nobody can tell whether it arrived.
-    const first = startTry(clock, request, request.idempotent ? MOST_SILENCES : Number.POSITIVE_INFINITY);
+    const first = startTry(clock, request);
     if (!request.idempotent || request.silenceMs === undefined) {
         return { outcome: await first.outcome };
     }
@@ -227,5 +246,8 @@
     if (first.isPointless()) {
         return leaveOpen(first);
     }
-    return takeAnswer(first, startTry(clock, request, 1), request);
+    const second = startTry(clock, request);
+    const both = joinTries(first, second, request);
+    const outcome = await Promise.race([both.outcome, waitUntilStuck(first, second, request)]);
+    return outcome === "Silent" ? leaveOpen(both) : { outcome };
 };
