Failing test: a node becomes ready by a version that was overtaken while it travelled

What callers see: a node that has just started is ready and answers 404 on a route that was confirmed seconds before. Sequence: a node starts and asks its peers for their heads; the whole version takes 3 s over a full link; 0.3 s after the start a newer version is confirmed and reaches everybody else; the node puts the old one in force and is ready. Cause: recoverConfiguration waits for the heads that were named in the round that began before the pull (hasArrived: the lower of what is believed and what was named then), and does not ask again before it says that it is ready.

--- a/packages/oleandergap-distribution/src/__tests__/recovery.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/recovery.test.ts
@@ -3,6 +3,9 @@
 import { healthyNetwork } from "./inMemoryNetwork.js";
 import { WEIGHT_CELL } from "./recordingStore.js";
 
+/** A node that is ready is never behind a confirmed version for longer. */
+const LONGEST_BEHIND_MS = 2_500;
+
 const startFleet = async (seed: number): Promise<InMemoryFleet> => {
     const fleet = createInMemoryFleet({ zones: 4, nodesPerZone: 10, seed });
     await fleet.startAll();
@@ -112,6 +115,32 @@
         fleet.stop();
     });
 
+    it("is not ready by a version that was overtaken while it travelled", async () => {
+        let isSlow = false;
+        const fleet = createInMemoryFleet({
+            zones: 2,
+            nodesPerZone: 6,
+            seed: 8,
+            answerTimeOf: (asker) => isSlow && asker === "node-4" ? LONGEST_BEHIND_MS + 500 : 0,
+        });
+        await fleet.startAll();
+        fleet.acceptAt(fleet.node(0), "halloway", { [WEIGHT_CELL]: 1 });
+        await fleet.clock.advance(3_000);
+        isSlow = true;
+        const node = fleet.node(4);
+        restartAll(fleet, [node]);
+        await fleet.clock.advance(300);
+        const { sequence } = fleet.acceptAt(fleet.node(0), "halloway", { [WEIGHT_CELL]: 2 });
+        await fleet.clock.advance(LONGEST_BEHIND_MS);
+        for (let waited = 0; waited < 10_000; waited += 50) {
+            expect(isReady(node) && node.store.document("halloway").sequence < sequence).to.equal(false);
+            await fleet.clock.advance(50);
+        }
+        expect(isReady(node)).to.equal(true);
+        expect(holdsAll(fleet)(node)).to.equal(true);
+        fleet.stop();
+    });
+
     it("is not ready without any version when peers hold one that they cannot deliver", async () => {
         // Symptom: a restarted node answers all requests with 404, and so do others that recover from it.
         // Sequence: many nodes restart at once; those that run name their heads, but are too busy to deliver versions
