--- a/packages/oleandergap-node/src/__tests__/lateSigns.test.ts
+++ b/packages/oleandergap-node/src/__tests__/lateSigns.test.ts
@@ -88,6 +88,8 @@
         /** How the other gate answers. */
         answerElsewhere: Handle;
         readonly ask: () => Promise<Received>;
+        /** The gateway's node is told to stop. */
+        readonly stop: () => void;
     }
 
     const startScene = async (): Promise<Scene> => {
@@ -123,6 +125,7 @@
             others: () => others,
             answerElsewhere: (response) => void response.end("other"),
             ask: () => call({ port: gateway.port, headers: HEADERS }),
+            stop: gateway.announceClose,
         };
         return scene;
     };
@@ -154,12 +157,13 @@
         scene: Scene,
         answerElsewhere: Handle,
     ): Promise<{ readonly answer: Promise<Received> }> => {
-        const { clock, relay, runs, ask, others } = scene;
+        const { clock, relay, runs, ask, others, stop } = scene;
         await makeSilent(scene);
         scene.answerElsewhere = answerElsewhere;
         const answered = others();
         const answer = ask();
         await until(() => relay.requests() === 3);
+        stop();
         await clock.advance(ARRIVAL_MS);
         relay.release();
         await until(() => runs.length === 1);
