A failing test: a drain cuts the last part of an answer that still waits for its reader

Callers, and nodes behind a full link, get an answer that breaks off when the node that writes it stops. Sequence: the last part of an answer is written and waits for its reader; the listener drains and closes what it takes for idle, which the runtime says of every connection whose answer was ended, read or not. On: whole: expected false to equal true. Without the drain the same answer arrives whole.

--- a/packages/oleandergap-node/src/__tests__/listener.test.ts
+++ b/packages/oleandergap-node/src/__tests__/listener.test.ts
@@ -1,9 +1,18 @@
+import type { ServerResponse } from "node:http";
+import net from "node:net";
 import { expect } from "chai";
-import { createManualClock } from "oleandergap-utils";
+import { createManualClock, createSystemClock } from "oleandergap-utils";
+import { createReceivedBody } from "../http/receivedBody.js";
+import { writeAnswer } from "../http/writeAnswer.js";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
-import { call, callRaw, createAnnouncement, createCleanup, startGate, startTarget, until } from "./support.js";
+import {
+    call, callRaw, createAnnouncement, createCleanup, LOOPBACK, startGate, startTarget, startTestListener, until,
+} from "./support.js";
 
 const LARGE_BODY_BYTES = 3 * 1024 * 1024;
+const PART_BYTES = 64 * 1024;
+/** Ends a body of chunks. */
+const LAST_CHUNK = "0\r\n\r\n";
 
 describe("startListener", () => {
     const cleanup = createCleanup();
@@ -93,4 +102,32 @@
         await drained;
         expect(gateway.inFlight()).to.equal(0);
     });
+
+    // Guards against an answer that is cut at a stop, since its last part still waits for the caller to read.
+    it("hands the rest of an answer over while it drains", async () => {
+        const body = createReceivedBody({ pause: () => undefined, resume: () => undefined, abort: () => undefined });
+        let answer: ServerResponse | undefined;
+        const listener = await startTestListener(cleanup.add, createSystemClock(), (_request, response) => {
+            answer = response;
+            writeAnswer(response, { statusCode: 200, headers: {}, body }, {});
+        });
+        const caller = net.connect(listener.port, LOOPBACK);
+        cleanup.add(() => caller.destroy());
+        caller.on("error", () => undefined);
+        caller.write(`GET / HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`);
+        await until(() => answer !== undefined);
+        while (answer?.writableLength === 0) {
+            body.push(Buffer.alloc(PART_BYTES));
+            await new Promise<void>((resolve) => setImmediate(resolve));
+        }
+        body.finish();
+        void listener.drain(0, new AbortController().signal);
+        await new Promise<void>((resolve) => setImmediate(resolve));
+        let end = "";
+        caller.on("data", (chunk) => {
+            end = (end + chunk.subarray(-LAST_CHUNK.length).toString("latin1")).slice(-LAST_CHUNK.length);
+        });
+        await until(() => end === LAST_CHUNK || caller.destroyed);
+        expect(end === LAST_CHUNK, "whole").to.equal(true);
+    });
 });
