Failing test: a node that knows of a newer version asks nobody after three quick failures

What callers see: a route that was confirmed seconds ago is answered 404 by a node that is ready and answers at once. Sequence: a node hears of a version from one member only (its datagrams are lost); for a second all connections fail at once, as when holders start anew or refuse; then they open again, and nobody tells of the version once more. Cause: a claim is dropped after three unanswered questions (claimBook.ts), all within 0.3 s when they fail at once. With its last claim gone the puller is idle, though the head was never disproved and eleven members hold it; it asks again only when somebody tells, at the latest by the comparison with a random peer (checkIntervalMs, 30 s).

The node asks five times in the first 277 ms and then not before 29.9 s.

--- a/packages/oleandergap-distribution/src/__tests__/slowDelivery.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/slowDelivery.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
+import { healthyNetwork } from "./inMemoryNetwork.js";
 import { createLimits } from "./recordingStore.js";
 
 /** Too many for a datagram, so that members pull the step. */
@@ -40,4 +41,30 @@
             fleet.stop();
         }
     });
+
+    it("is fetched from other members although nobody tells of it again", async () => {
+        let delivers = true;
+        const fleet = createInMemoryFleet({
+            zones: 1,
+            nodesPerZone: 12,
+            seed: 1,
+            probes: false,
+            deliversVersions: () => delivers,
+        });
+        await fleet.startAll();
+        const [teller, late] = [fleet.node(1), fleet.node(11)];
+        fleet.network.setCut((from, to) => [from.id, to.id].includes(late.address.id));
+        fleet.acceptAt(fleet.node(0), "halloway", createLimits("limit", CHANGED_LIMITS));
+        await fleet.clock.advance(TROUBLE_MS);
+        // Datagrams stay lost, as on a full link; connections open again after the trouble.
+        fleet.network.setFaults({ ...healthyNetwork, lossShare: 1 });
+        fleet.network.setCut(() => false);
+        delivers = false;
+        late.spread.receiveHeads(teller.address, teller.store.heads());
+        await fleet.clock.advance(TROUBLE_MS);
+        delivers = true;
+        await fleet.clock.advance(AFTER_TROUBLE_MS);
+        expect(fleet.informed("halloway").map(({ address }) => address.id)).to.include(late.address.id);
+        fleet.stop();
+    });
 });
