A listener that drains closes no connection whose answer still waits for its reader

What callers saw: an answer broke off when the node that wrote it stopped; behind a full link also those of nodes to each other.

Cause: the HTTP server's close ends every connection that it takes for idle, and that is each whose answer was ended by its handler, read by the other side or not.

Change: a drain closes the accepting socket alone, waits until every answer was taken, and closes idle connections then. Requests that come on them meanwhile are answered and told to close, as before.

--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -5,7 +5,7 @@
  * and malformed lines. Such a request never reaches the handler; it is answered here, and its connection is closed.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import { REASON_HEADER, VERDICT_HEADER, type Clock, type Milliseconds } from "oleandergap-types";
@@ -63,7 +63,7 @@
     readonly announceClose: () => void;
     /**
      * Tells every caller to close its connection after the answer, for `linger` goes on accepting, then closes idle
-     * connections, and resolves when all requests are answered or `signal` aborts.
+     * connections, and resolves when all requests are answered whole or `signal` aborts.
      */
     readonly drain: (linger: Milliseconds, signal: AbortSignal) => Promise<void>;
     /** Destroys what is left. */
@@ -176,13 +176,17 @@
     /**
      * Closing a kept connection at once would cut off a request that its caller has just written: the caller sees a
      * reset and cannot tell whether it ran. While the server lingers, such requests are answered and told to close.
+     *
+     * The server's own `close` also closes connections that it takes for idle, and it does so as soon as their answers
+     * were ended: one that still waits for its reader, as behind a full link, would break off. Only the socket that
+     * accepts is closed therefore, and idle connections once every answer has been taken.
      */
     const drain = async (linger: Milliseconds, signal: AbortSignal): Promise<void> => {
         draining = true;
         await options.clock.sleep(linger, signal);
-        server.close();
-        server.closeIdleConnections();
+        NetServer.prototype.close.call(server);
         await waitUntilEmpty(signal);
+        server.closeIdleConnections();
     };
 
     return either.right({
