A claim is kept for seconds while its holders do not answer

What callers saw: a route that had been confirmed was answered 404 by a node that was ready and quick, until the next change.

Cause: a claim was dropped after three unanswered questions, all within 0.3 s when they fail at once. A node that heard of the version only once then asked nobody until its comparison with a random peer, 30 s later at most, though others held the version.

Change: while sources do not answer, their claims are kept for 5 s (pull.keepUnansweredMs), and others are asked meanwhile. Claims that were disproved are dropped after three attempts as before.

--- a/packages/oleandergap-distribution/src/claimBook.ts
+++ b/packages/oleandergap-distribution/src/claimBook.ts
@@ -1,7 +1,7 @@
 /**
  * The heads of one partner that others claim to hold. A claim says whom to ask; it never changes what is in force.
  */
-import type { Clock, Head } from "oleandergap-types";
+import type { Clock, Head, Milliseconds } from "oleandergap-types";
 import type { PullOptions } from "./options.js";
 import type { PeerAddress } from "./ports.js";
 
@@ -40,7 +40,7 @@
 /** What a claim book works with. */
 export interface ClaimBookDependencies {
     readonly clock: Clock;
-    readonly options: Pick<PullOptions, "attemptsPerHead" | "setAsideMs">;
+    readonly options: Pick<PullOptions, "attemptsPerHead" | "keepUnansweredMs" | "setAsideMs">;
 }
 
 /** The claims to one partner's heads, with those that could not be verified set aside for a while. */
@@ -55,8 +55,14 @@
     readonly countFailure: (claim: Claim, failure: ClaimFailure) => boolean;
 }
 
+/** The failed attempts at one claim. */
+interface Failures {
+    readonly count: number;
+    readonly since: Milliseconds;
+}
+
 /** A map that forgets its oldest entries. */
-const remember = (map: Map<string, number>, key: string, value: number): void => {
+const remember = <Value>(map: Map<string, Value>, key: string, value: Value): void => {
     map.delete(key);
     map.set(key, value);
     for (const oldest of [...map.keys()].slice(0, -MAX_REMEMBERED)) {
@@ -74,10 +80,14 @@
  * Only the claim of that source: the head may be true, and others hold it. Were the head set aside, three questions
  * that run out of time on a full link would keep a node at an old version for seconds after the link is free. A source
  * that did not answer is believed again as soon as it shows its head once more, which the dead never do.
+ *
+ * While sources do not answer, the claim is kept for some seconds whatever their number: questions that fail at once
+ * would use up the attempts within a part of a second, and a node that hears of the version only once would then stay
+ * behind, though others hold it.
  */
 export const createClaimBook = ({ clock, options }: ClaimBookDependencies): ClaimBook => {
     let claims: readonly Claim[] = [];
-    const failures = new Map<string, number>();
+    const failures = new Map<string, Failures>();
     const setAsideUntil = new Map<string, number>();
 
     const isSetAside = (claim: Claim): boolean => {
@@ -110,9 +120,11 @@
         },
         countFailure: (claim, failure) => {
             const key = formatClaim(claim);
-            const count = (failures.get(key) ?? 0) + 1;
-            remember(failures, key, count);
-            if (count < options.attemptsPerHead) {
+            const now = clock.monotonic();
+            const { count, since } = failures.get(key) ?? { count: 0, since: now };
+            remember(failures, key, { count: count + 1, since });
+            const isKept = failure === "Unanswered" && now - since < options.keepUnansweredMs;
+            if (count + 1 < options.attemptsPerHead || isKept) {
                 return false;
             }
             drop(key);
--- a/packages/oleandergap-distribution/src/options.ts
+++ b/packages/oleandergap-distribution/src/options.ts
@@ -35,6 +35,8 @@
     backoffMaximumMs: milliseconds(10, 600_000).default(500),
     /** Failed pulls from one who claims a head after which this claim is dropped. */
     attemptsPerHead: z.number().int().min(1).max(20).default(3),
+    /** Time for which a claim is kept although its holder does not answer; others are asked meanwhile. */
+    keepUnansweredMs: milliseconds(0, 600_000).default(5_000),
     /** Time for which a claim that could not be verified is not looked at again. */
     setAsideMs: milliseconds(100, 600_000).default(5_000),
     /**
