A node that recovers asks anew when the versions took long to arrive

What callers saw: a node that had just started was ready and answered 404 on a route that had been confirmed seconds before.

Cause: a starting node is ready once it holds the heads that its peers named. Those were asked for before the pull; a whole version over a full link takes seconds, and a newer one that was confirmed meanwhile was not looked at.

Change: when a round's versions took more than a second to arrive, the sources are asked once more; after three such rounds the node is ready all the same, as its link is slow and it follows further versions like any other.

--- a/packages/oleandergap-distribution/src/recovery.ts
+++ b/packages/oleandergap-distribution/src/recovery.ts
@@ -5,14 +5,15 @@
  *
  * Guarantee: when `recover` resolves, the node holds, for every partner, at least the highest version that any
  * recovered source named in the deciding round, but for versions that nobody could deliver with a matching digest; and
- * some version of each partner of which a source named one.
+ * some version of each partner of which a source named one. The deciding round is a recent one: what was named before a
+ * long pull may have been overtaken meanwhile, and a node that took it for the newest would serve by an old version.
  * Sources are, in this order, recovered peers of the own zone, recovered contacts in other zones, and the platform.
  * When all peers of the zone restarted at once, none of them is a source yet: the zone waits for another zone or the
  * platform. When neither answers, the node stays not ready and keeps trying.
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
-import type { Clock, Head, PartnerName, Sequence } from "oleandergap-types";
+import type { Clock, Head, Milliseconds, PartnerName, Sequence } from "oleandergap-types";
 import { drawBackoff, pickSeveral, type Random } from "oleandergap-utils";
 import { callWithin } from "./boundedCall.js";
 import type { Claim } from "./claimBook.js";
@@ -45,8 +46,18 @@
     /** The signal aborted first. */
     | { readonly kind: "Aborted" };
 
+/** How a round ended in which a source named heads. */
+type RoundOutcome =
+    | RecoveryOutcome
+    /** The versions that were named have arrived, too late to be taken for the newest. */
+    | { readonly kind: "Overtaken" };
+
 /** Distance between two looks at whether the versions have arrived. */
 const ARRIVAL_CHECK_MS = 100;
+/** A round whose versions took longer to arrive is followed by another one; well within the time to follow a change. */
+const LONGEST_ROUND_MS = 1_000;
+/** Such rounds in a row after which the node is ready all the same: its link is slow, and it keeps on following. */
+const MOST_LONG_ROUNDS = 3;
 /** Most doublings of the wait between rounds. */
 const MAX_ROUND_EXPONENT = 10;
 
@@ -108,7 +119,15 @@
     const lacksVersion = (heads: readonly Head[]): boolean =>
         heads.some(({ partner, sequence }) => sequence > 0 && dependencies.sequenceOf(partner) === 0);
 
-    const runRound = async (): Promise<RecoveryOutcome | undefined> => {
+    let longRounds = 0;
+    /** Counts the rounds in a row that took too long; true when this one has to be followed by another. */
+    const isOvertaken = (namedAt: Milliseconds): boolean => {
+        longRounds = clock.monotonic() - namedAt > LONGEST_ROUND_MS ? longRounds + 1 : 0;
+        return longRounds > 0 && longRounds < MOST_LONG_ROUNDS;
+    };
+
+    /** The versions of the first source that names some; undefined when no source did. */
+    const runRound = async (): Promise<RoundOutcome | undefined> => {
         const sources = [
             { source: "zone", ask: () => askPeers(fleet.members()) },
             { source: "otherZones", ask: () => askPeers(fleet.contacts()) },
@@ -119,12 +138,16 @@
         ] as const;
         for (const { source, ask } of sources) {
             const heads = await ask();
-            if (heads !== undefined) {
-                await waitForArrival(heads);
-                if (!signal.aborted && lacksVersion(heads)) {
-                    continue;
-                }
-                return signal.aborted ? { kind: "Aborted" } : { kind: "Recovered", source };
+            if (heads === undefined) {
+                continue;
+            }
+            const namedAt = clock.monotonic();
+            await waitForArrival(heads);
+            if (signal.aborted) {
+                return { kind: "Aborted" };
+            }
+            if (!lacksVersion(heads)) {
+                return isOvertaken(namedAt) ? { kind: "Overtaken" } : { kind: "Recovered", source };
             }
         }
         return undefined;
@@ -132,6 +155,10 @@
 
     for (let round = 0; !signal.aborted; round++) {
         const outcome = await runRound();
+        if (outcome?.kind === "Overtaken") {
+            dependencies.logger.info("the versions took long to arrive; asking for newer ones", { round });
+            continue;
+        }
         if (outcome !== undefined) {
             return outcome;
         }
