Failing test: a node without reads of the platform left waits for one while its peers hold the version

What callers see: a change accepted at a node (and what came before it) is not in force there for many seconds. Sequence: a node that is no reader and is behind accepts changes in quick succession; each makes it read the platform, until its share of the reads is spent; its peers, which can be reached again, tell it of the very same head. Cause: after "OverBudget" the puller waits for its next read (timeToNext). What peers tell ends a wait only if it is higher than every claim (endsWait needs isNews, versionPuller.ts), and the platform's claim has the same number. Only where the platform has steps: sources that hold documents (the deployment's) take no read for a pull.

--- a/packages/oleandergap-distribution/src/__tests__/spreadFailures.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/spreadFailures.test.ts
@@ -119,6 +119,28 @@
         }
     });
 
+    it("asks peers for a version while no read of the platform is left", async () => {
+        // As many reads for each node as a fleet of a few thousand has by default.
+        const budget = { ...defaultDistributionOptions.budget, zones: 1, recoveryReadsPerSecond: 1 };
+        const options = { ...defaultDistributionOptions, budget };
+        const fleet = createInMemoryFleet({ zones: 1, nodesPerZone: 12, seed: 33, options });
+        await fleet.startAll();
+        await fleet.clock.advance(5_000);
+        const ordinary = fleet.nodes.find(({ spread }) => spread.stats().rank >= 6) as FleetNode;
+        const other = fleet.nodes.find((node) => node !== ordinary) as FleetNode;
+        const isBeside = (id: string): boolean => id === ordinary.address.id;
+        fleet.network.setCut((from, to) => isBeside(from.id) || isBeside(to.id));
+        for (let weight = 2; weight < 12; weight += 2) {
+            fleet.acceptAt(other, "halloway", { [WEIGHT_CELL]: weight });
+            fleet.acceptAt(ordinary, "halloway", { [WEIGHT_CELL]: weight + 1 });
+            await fleet.clock.advance(100);
+        }
+        fleet.network.setCut(() => false);
+        await fleet.clock.advance(2_500);
+        expectInForceEverywhere(fleet, "halloway");
+        fleet.stop();
+    });
+
     it("follows a quick run of changes that come as whole documents", async () => {
         // Symptom: during a run of changes, a node stays at an old version until the run is over.
         // Sequence: a change every 300 ms; each costs a reader one read of the heads, which brings the document.
