Peers are asked for a version while no read of the platform is left

What callers saw: a change that was accepted at a node was not in force there for many seconds.

Cause: a node that is no reader and is behind read the platform after each acceptance, until its share of the reads was spent, and then waited for the next read; what peers told of the same version did not end that wait, only news of a higher one did.

Change: waiting for a read is a state of its own, and whatever a peer claims ends it. On the users' platform no read is spent on a pull, so that this concerns the project's own platform.

--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -50,8 +50,10 @@
     | { readonly kind: "Idle" }
     /** At least one question is under way; the timer ends the patience with it. */
     | { readonly kind: "Pulling"; readonly cancel: CancelTimer }
-    /** After a failure, or for want of budget; other questions may be under way. */
+    /** After a failure; other questions may be under way. */
     | { readonly kind: "Waiting"; readonly cancel: CancelTimer }
+    /** For the next read of the platform; peers may be asked meanwhile. */
+    | { readonly kind: "OverBudget"; readonly cancel: CancelTimer }
     /** A peer told a head that this node is about to hear from the platform. */
     | { readonly kind: "Patient"; readonly cancel: CancelTimer };
 
@@ -86,7 +88,8 @@
     const noteFailure = ({ source, claim }: PullAttempt, failure: FetchFailure, startedAt: Milliseconds): void => {
         lastFailed = formatClaimSource(source);
         if (failure.kind === "OverBudget") {
-            waitBefore(budget.timeToNext() + drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs));
+            const delay = budget.timeToNext() + drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs);
+            state = { kind: "OverBudget", cancel: startTimer(clock, signal, delay, pullNext) };
             return;
         }
         counters.pullFailures += 1;
@@ -182,7 +185,9 @@
             const isNews = book.note(claim);
             const isFromPlatform = claim.source.kind === "Platform";
             const endsWait = state.kind === "Waiting" && isNews && !hasFailedLast(claim.source);
-            if ((state.kind === "Patient" && isFromPlatform) || endsWait) {
+            const endsPatience = state.kind === "Patient" && isFromPlatform;
+            const sparesRead = state.kind === "OverBudget" && !isFromPlatform;
+            if (endsWait || endsPatience || sparesRead) {
                 cancelWait();
             }
             if (state.kind === "Idle") {
