Sight: how many questions a version took; a question that a datagram has overtaken is no failure

Such a question now ends without a line, a count or a back-off, and the line on a version in force has the number of questions that were asked for it, so that a late version tells whether its node waited for others.

Before: one failure counted (slowHolders.test.ts, "counts no failure ...").

--- a/packages/oleandergap-distribution/src/__tests__/arrivals.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/arrivals.test.ts
@@ -27,12 +27,14 @@
         await clock.advance(300);
         arrivals.noteHeard(headOf(4));
         arrivals.noteHeard(headOf(6));
+        arrivals.noteQuestion("halloway");
+        arrivals.noteQuestion("halloway");
         await clock.advance(500);
         arrivals.offerFrom({ way: "document", peer: "node-2" }, () => arrivals.noteApplied(headOf(4), 8));
         arrivals.noteApplied(headOf(6), undefined);
         expect(lines.map(({ context }) => ({ ...context, digest: "00" }))).to.deep.equal([
-            { ...headOf(4), way: "document", peer: "node-2", cells: 8, sinceHeardMs: 800, checkMs: 0 },
-            { ...headOf(6), way: "local", peer: undefined, cells: undefined, sinceHeardMs: 500, checkMs: 0 },
+            { ...headOf(4), way: "document", peer: "node-2", cells: 8, questions: 2, sinceHeardMs: 800, checkMs: 0 },
+            { ...headOf(6), way: "local", peer: undefined, cells: undefined, questions: 0, sinceHeardMs: 500, checkMs: 0 },
         ]);
     });
 
--- a/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/slowHolders.test.ts
@@ -8,6 +8,8 @@
 /** Too many for a datagram, so that members pull the step. */
 const CHANGED_LIMITS = createLimits("limit", 150);
 const NODES = 12;
+/** Longer than a datagram travels. */
+const ANSWER_MS = 100;
 /** More than an answer with a small step takes, and less than one with a whole version. */
 const LONGEST_STEP_BYTES = 1_000;
 
@@ -84,4 +86,20 @@
         expect(listBehind(fleet)).to.deep.equal([]);
         fleet.stop();
     });
+
+    // Guards against a back-off, and a line on a failure, after a question that a datagram has overtaken.
+    it("counts no failure when it has come in a datagram meanwhile", async () => {
+        const fleet = createInMemoryFleet({ zones: 1, nodesPerZone: NODES, seed: 1, answerTimeOf: () => ANSWER_MS });
+        await fleet.startAll();
+        const [first, other] = [fleet.node(0), fleet.node(NODES - 1)];
+        const before = other.spread.stats();
+        fleet.acceptAt(first, "halloway", { [WEIGHT_CELL]: 2 });
+        other.spread.receiveHeads(first.address, first.store.heads());
+        await fleet.clock.advance(2 * ANSWER_MS);
+        expect(listBehind(fleet)).to.deep.equal([]);
+        expect(other.spread.stats().inlineApplied).to.be.greaterThan(before.inlineApplied);
+        expect(other.spread.stats().pulls).to.be.greaterThan(before.pulls);
+        expect(other.spread.stats().pullFailures).to.equal(before.pullFailures);
+        fleet.stop();
+    });
 });
--- a/packages/oleandergap-distribution/src/arrivals.ts
+++ b/packages/oleandergap-distribution/src/arrivals.ts
@@ -36,6 +36,8 @@
 export interface Arrivals {
     /** Notes that somebody claims to hold a version that is not in force here. */
     readonly noteHeard: (head: Head) => void;
+    /** Notes that a source is asked for a version. */
+    readonly noteQuestion: (partner: PartnerName) => void;
     /** Offers a version to the store; what comes into force meanwhile came from `origin`. */
     readonly offerFrom: <Result>(origin: ArrivalOrigin, offer: () => Result) => Result;
     /** Writes the line of a version that has just come into force; `cells` is how many it changed, if that is known. */
@@ -64,6 +66,8 @@
         ratePerSecond: () => FAILURE_LINES_PER_SECOND,
         burst: FAILURE_LINES_BURST,
     });
+    /** Questions since the last version came into force. */
+    const questions = new Map<PartnerName, number>();
     let leftOut = 0;
     let offer: { readonly origin: ArrivalOrigin; readonly startedAt: Milliseconds } | undefined;
 
@@ -81,6 +85,9 @@
                 heard.set(partner, [...known, { sequence, at: clock.monotonic() }].slice(-MAX_HEARD));
             }
         },
+        noteQuestion: (partner) => {
+            questions.set(partner, (questions.get(partner) ?? 0) + 1);
+        },
         offerFrom: (origin, run) => {
             const outer = offer;
             offer = { origin, startedAt: clock.monotonic() };
@@ -97,9 +104,11 @@
                 way: offer?.origin.way ?? "local",
                 peer: offer?.origin.peer,
                 cells,
+                questions: questions.get(head.partner) ?? 0,
                 sinceHeardMs: heardAt === undefined ? 0 : Math.round(now - heardAt),
                 checkMs: offer === undefined ? 0 : Math.round(now - offer.startedAt),
             });
+            questions.delete(head.partner);
         },
         noteFailedPull: ({ partner, source, reason, durationMs }) => {
             if (!lines.tryTake()) {
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -27,7 +27,7 @@
     /** Peers to try when those who told a head do not deliver it. */
     readonly otherPeers: () => readonly PeerAddress[];
     readonly budget: Pick<ReadBudget, "timeToNext">;
-    readonly arrivals: Pick<Arrivals, "noteHeard" | "noteFailedPull">;
+    readonly arrivals: Pick<Arrivals, "noteHeard" | "noteQuestion" | "noteFailedPull">;
     /** Whether this node hears of new versions from the platform itself at the moment. */
     readonly followsPlatform: () => boolean;
     readonly clock: Clock;
@@ -60,6 +60,13 @@
 const formatFailure = (failure: FetchFailure): string =>
     "detail" in failure ? `${failure.kind}: ${failure.detail}` : failure.kind;
 
+/** Whether the version came into force in another way while its holder was asked. */
+const isOvertaken = (
+    { store }: Pick<VersionPullerDependencies, "store">,
+    { claim }: PullAttempt,
+    failure: FetchFailure,
+): boolean => failure.kind === "NothingNewer" && claim !== undefined && !store.isWanted(claim.head);
+
 /** Longest exponent of the back-off; the bound is reached before it. */
 const MAX_BACKOFF_EXPONENT = 16;
 /** Sources that are asked at the same time: two of them may be dead or behind full links. */
@@ -119,6 +126,7 @@
         clock,
         ask: ({ source }, pullSignal) => {
             counters.pulls += 1;
+            arrivals.noteQuestion(partner);
             const timeoutMs = source.kind === "Peer" ? options.longestMs : options.platformTimeoutMs;
             return fetchVersion(partner, source, { clock, timeoutMs, signal: pullSignal });
         },
@@ -130,6 +138,10 @@
         },
         onFailed: (attempt, failure, startedAt) => {
             cancelTimer();
+            if (isOvertaken(dependencies, attempt, failure)) {
+                pullNext();
+                return;
+            }
             noteFailure(attempt, failure, startedAt);
         },
         signal,
@@ -163,11 +175,6 @@
         }
     };
 
-    const cancelWait = (): void => {
-        cancelTimer();
-        state = { kind: "Idle" };
-    };
-
     const startPulling = (isFromPlatform: boolean): void => {
         if (isFromPlatform || options.peerPatienceMs === 0 || !followsPlatform()) {
             pullNext();
@@ -188,7 +195,8 @@
             const endsPatience = state.kind === "Patient" && isFromPlatform;
             const sparesRead = state.kind === "OverBudget" && !isFromPlatform;
             if (endsWait || endsPatience || sparesRead) {
-                cancelWait();
+                cancelTimer();
+                state = { kind: "Idle" };
             }
             if (state.kind === "Idle") {
                 startPulling(isFromPlatform);
