Node: a stop ends in time whatever it waits for

What callers saw: at the end of the grace time a node was still there and was killed; what ran was cut, and callers whose request was under way got no answer after the signal to stop. Cause: the time for draining ended some of the waits only. The hand-over of keys (claims.leave, with ownership) waits for calls to the store, each up to its own time limit of 2 s of silence or 15 s in all, several in a row; telling the other nodes (membership.leave, 3 rounds of 200 ms) and closing connections (pools.destroy) keep to no signal at all. Final answers were given only after all of these, and so not at all if one of them hung. Ruled out by reading: claims.drain and the listeners' drains, which end with the signal; the process after the stop, which ends by process.exit in both programs. Change: stopNode.ts runs all that drains against the time for draining as a whole; at its end the final answers go out, then connections get 100 ms to close. So a stop takes drainTimeoutMs + 250 ms at the most.

--- a/packages/oleandergap-node/src/__tests__/main.test.ts
+++ b/packages/oleandergap-node/src/__tests__/main.test.ts
@@ -6,7 +6,7 @@
 import path from "node:path";
 import { fileURLToPath } from "node:url";
 import { expect } from "chai";
-import { call, createCleanup, LOOPBACK, until } from "./support.js";
+import { call, createCleanup, LOOPBACK, reservePorts, until } from "./support.js";
 
 const MAIN = fileURLToPath(new URL("../main.js", import.meta.url));
 
@@ -15,16 +15,6 @@
     readonly output: string;
 }
 
-const reservePorts = async (count: number): Promise<readonly number[]> => {
-    const servers = await Promise.all(Array.from({ length: count }, () => new Promise<net.Server>((resolve) => {
-        const server = net.createServer();
-        server.listen(0, LOOPBACK, () => resolve(server));
-    })));
-    const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-    await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-    return ports;
-};
-
 describe("oleandergap-node", function () {
     this.timeout(60_000);
     const cleanup = createCleanup();
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -33,6 +33,17 @@
     };
 };
 
+/** Ports that are free now. */
+export const reservePorts = async (count: number): Promise<readonly number[]> => {
+    const servers = await Promise.all(Array.from({ length: count }, () => new Promise<net.Server>((resolve) => {
+        const server = net.createServer();
+        server.listen(0, LOOPBACK, () => resolve(server));
+    })));
+    const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
+    await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+    return ports;
+};
+
 /** A plain server, used as a target. */
 export const startTarget = async (
     cleanup: Cleanup,
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -4,16 +4,15 @@
  * Start: listen, join, recover the configuration, ready. Until it is ready it refuses callers with `NotReady`, so that
  * no request is ever served by an older version than the fleet's.
  *
- * Stop: serve on for a short time, tell the other nodes, serve callers until they have been sent elsewhere, refuse what
- * is new, finish what is in flight, close; see `runStopStages`. A request that the own target still works on may call
- * other services through this node's gateway; the gateway therefore stays open, for the target only, until the gate is
- * empty.
+ * Stop: serve on for a short time, tell the other nodes, serve callers until they have been sent elsewhere, refuse
+ * what is new, finish what is in flight, close; see `stopNode` and `runStopStages`. A request that the own target still
+ * works on may call other services through this node's gateway; the gateway therefore stays open, for the target only,
+ * until the gate is empty.
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import type { Logger } from "oleandergap-logger";
 import type { Clock } from "oleandergap-types";
-import { startTimeLimit } from "oleandergap-utils";
 import type { ReadinessState } from "./admin/readiness.js";
 import type { ControlPlane } from "./createControlPlane.js";
 import type { RequestPath } from "./createRequestPath.js";
@@ -21,7 +20,7 @@
 import type { ListenerPlan } from "./adapters.js";
 import { destroyListeners, startNodeListeners, type NodeHandlers, type NodeListeners } from "./listeners.js";
 import type { NodeOptions } from "./options.js";
-import { runStopStages } from "./stopStages.js";
+import { stopNode } from "./stopNode.js";
 
 export interface LifecycleDependencies {
     readonly options: NodeOptions;
@@ -46,8 +45,6 @@
 }
 
 const SWEEP_INTERVAL_MS = 1000;
-/** Time in which the final answers to what was given up leave the process; several turns of a busy event loop. */
-const FINAL_ANSWERS_MS = 150;
 
 /** The membership binds its port itself; its failure is told like that of any other port. */
 const join = async (
@@ -105,42 +102,6 @@
     requestPath.claimSweeper.start(signal).catch(report("Deleting expired claims"));
 };
 
-const waitForGate = ({ requestPath }: LifecycleDependencies, drainSignal: AbortSignal): Promise<void> =>
-    new Promise((resolve) => {
-        void requestPath.target.stop().then(resolve);
-        drainSignal.addEventListener("abort", () => resolve(), { once: true });
-    });
-
-const stopNode = async (dependencies: LifecycleDependencies, listeners: NodeListeners): Promise<void> => {
-    const { options, clock, logger, readiness, controlPlane, requestPath, signal } = dependencies;
-    // Aborts when the time for draining is over or everything is to end at once.
-    const limit = startTimeLimit(clock, options.stop.drainTimeoutMs, signal);
-    const drainSignal = limit.signal;
-    readiness.draining = true;
-    listeners.gateway.announceClose();
-    await runStopStages(clock, options.stop, {
-        hasSubstitute: requestPath.hasSubstitute,
-        closeGate: () => Promise.all([controlPlane.membership.leave(), waitForGate(dependencies, drainSignal)]),
-        refuseCallers: () => {
-            readiness.refusing = true;
-        },
-        knowsOwnTarget: requestPath.knowsOwnTarget,
-    }, drainSignal);
-    await Promise.all([listeners.gateway.drain(0, drainSignal), listeners.gate.drain(0, drainSignal)]);
-    await requestPath.claims.leave(drainSignal);
-    await requestPath.claims.drain(drainSignal);
-    if (limit.hasPassed()) {
-        logger.warn("The time for draining is over; what is left is given up.");
-        // Cut off without a word, a caller could not tell whether its request ran, nor when to come back.
-        requestPath.giveUpAll();
-        await clock.sleep(FINAL_ANSWERS_MS, signal);
-    }
-    limit.cancel();
-    destroyListeners(listeners);
-    controlPlane.peers.close();
-    await requestPath.pools.destroy();
-};
-
 export const createNodeLifecycle = (dependencies: LifecycleDependencies): NodeLifecycle => {
     const { options, logger, readiness, signal } = dependencies;
     let listeners: NodeListeners | undefined;
--- /dev/null
+++ b/packages/oleandergap-node/src/stopNode.ts
@@ -0,0 +1,75 @@
+/**
+ * Stops a node, within a time that does not depend on what it waits for.
+ *
+ * The platform kills a process that is still there at the end of its grace time, and with it the connections of all
+ * callers whose answers have not left. So everything that a stop waits for, the store and other nodes above all, is
+ * bounded by the time for draining as a whole; what is left then gets its final answer, and the process ends.
+ */
+import { describeError, raceAbort, startTimeLimit } from "oleandergap-utils";
+import type { Milliseconds } from "oleandergap-types";
+import { destroyListeners, type NodeListeners } from "./listeners.js";
+import type { LifecycleDependencies } from "./nodeLifecycle.js";
+import { runStopStages } from "./stopStages.js";
+
+/** Time in which the final answers to what was given up leave the process; several turns of a busy event loop. */
+const FINAL_ANSWERS_MS: Milliseconds = 150;
+/** Longest wait for connections to close; they close within a turn of the event loop or two. */
+const CLOSE_MS: Milliseconds = 100;
+
+const waitForGate = ({ requestPath }: LifecycleDependencies, signal: AbortSignal): Promise<void> =>
+    raceAbort(requestPath.target.stop(), signal, () => undefined);
+
+/** Serves on, sends callers elsewhere, and resolves when nothing is left in flight. */
+const drainNode = async (
+    dependencies: LifecycleDependencies,
+    listeners: NodeListeners,
+    signal: AbortSignal,
+): Promise<void> => {
+    const { options, clock, readiness, controlPlane, requestPath } = dependencies;
+    await runStopStages(clock, options.stop, {
+        hasSubstitute: requestPath.hasSubstitute,
+        closeGate: () => Promise.all([controlPlane.membership.leave(), waitForGate(dependencies, signal)]),
+        refuseCallers: () => {
+            readiness.refusing = true;
+        },
+        knowsOwnTarget: requestPath.knowsOwnTarget,
+    }, signal);
+    await Promise.all([listeners.gateway.drain(0, signal), listeners.gate.drain(0, signal)]);
+    await requestPath.claims.leave(signal);
+    await requestPath.claims.drain(signal);
+};
+
+/** Cut off without a word, a caller could not tell whether its request ran, nor when to come back. */
+const giveUpRest = async ({ clock, logger, requestPath, signal }: LifecycleDependencies): Promise<void> => {
+    logger.warn("The time for draining is over; what is left is given up.");
+    requestPath.giveUpAll();
+    await clock.sleep(FINAL_ANSWERS_MS, signal);
+};
+
+const closeConnections = async (
+    { clock, logger, controlPlane, requestPath, signal }: LifecycleDependencies,
+    listeners: NodeListeners,
+): Promise<void> => {
+    destroyListeners(listeners);
+    controlPlane.peers.close();
+    const closed = requestPath.pools.destroy().catch((error: unknown) => {
+        logger.warn("Closing connections failed.", { detail: describeError(error) });
+    });
+    await Promise.race([closed, clock.sleep(CLOSE_MS, signal)]);
+};
+
+/** Resolves when the process may end, a fraction of a second after the time for draining at the latest. */
+export const stopNode = async (dependencies: LifecycleDependencies, listeners: NodeListeners): Promise<void> => {
+    const { options, clock, readiness, signal } = dependencies;
+    // Aborts when the time for draining is over or everything is to end at once.
+    const limit = startTimeLimit(clock, options.stop.drainTimeoutMs, signal);
+    readiness.draining = true;
+    listeners.gateway.announceClose();
+    // Not all that the steps wait for keeps to the signal, such as a call to a store that is silent.
+    await raceAbort(drainNode(dependencies, listeners, limit.signal), limit.signal, () => undefined);
+    if (limit.hasPassed()) {
+        await giveUpRest(dependencies);
+    }
+    limit.cancel();
+    await closeConnections(dependencies, listeners);
+};
