Node: a signal to stop during the start does not wait for the start

What one saw: a node that is told to stop before it is ready goes on for as long as its start waits for other nodes (joinTimeoutMs, 2 s by default), and then for all stages of a stop, up to 4.1 s with the platform's settings, though it has served nobody. With both, and the draining's full time, a stop passes the grace time. Cause: runUntilSignal looked at the signal only after the start; the stages did not ask whether anybody was served. Change: the stop begins with the signal; a node that never was ready refuses its callers for lingerMs, tells the other nodes, and ends. It does not become ready any more while it leaves. Tests, failing before: main.test.ts 'does not wait for other nodes to stop' (real process, joinTimeoutMs of 10 minutes: 'Timeout of 60000ms exceeded'); nodeLifecycle.test.ts 'is over soon on a node that has served nobody yet' ('expected false to equal true').

--- a/packages/oleandergap-node/src/__tests__/main.test.ts
+++ b/packages/oleandergap-node/src/__tests__/main.test.ts
@@ -10,6 +10,9 @@
 
 const MAIN = fileURLToPath(new URL("../main.js", import.meta.url));
 
+/** A wait that would outlast the time limit of these tests. */
+const LONGER_THAN_TEST_MS = 600_000;
+
 interface Ended {
     readonly code: number | null;
     readonly output: string;
@@ -20,7 +23,7 @@
     const cleanup = createCleanup();
     afterEach(() => cleanup.run());
 
-    const writeSettings = async (ports: readonly number[], extra = ""): Promise<string> => {
+    const writeSettings = async (ports: readonly number[], extra = "", joinTimeoutMs = 50): Promise<string> => {
         const folder = await mkdtemp(path.join(tmpdir(), "oleandergap-node-"));
         cleanup.add(() => rm(folder, { recursive: true }));
         const file = path.join(folder, "node.yaml");
@@ -33,7 +36,7 @@
             `listen: { address: ${LOOPBACK}, gatewayPort: ${ports[0]}, gatePort: ${ports[1]}, ` +
             `controlPort: ${ports[2]}, adminPort: ${ports[3]} }`,
             `platform: { tableService: ${platform}, objectStore: ${platform} }`,
-            "membership: { joinTimeoutMs: 50 }",
+            `membership: { joinTimeoutMs: ${joinTimeoutMs} }`,
             "stop: { lingerMs: 50 }",
             extra,
         ].join("\n"));
@@ -130,6 +133,17 @@
         expect(ended.code).to.equal(0);
     });
 
+    it("does not wait for other nodes to stop, so that a signal during the start ends it before the kill", async () => {
+        const ports = await reservePorts(5);
+        const node = run("--settings", await writeSettings(ports, "", LONGER_THAN_TEST_MS));
+        await waitUntilUp(ports[3] ?? 0);
+        node.stop("SIGTERM");
+        const { code, output } = await node.ended;
+
+        expect(code).to.equal(0);
+        expect(output).to.include("node: Stopped.");
+    });
+
     // Symptom: a stranger drains targets or poses as a member although the fleet has a key.
     // Sequence: it sends requests and datagrams to the control port of a daemon.
     // Cause: a part of the daemon is not wired to the key.
--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -123,6 +123,13 @@
         });
     }
 
+    it("is over soon on a node that has served nobody yet, since it recovers", async () => {
+        const harness = await startNode({}, false);
+        harness.stop();
+        await harness.clock.advance(STOP.lingerMs);
+        expect(harness.isStopped()).to.equal(true);
+    });
+
     it("is over at once after a second signal, whatever it waits for", async () => {
         const harness = await startNode({ leaveClaims: never, leaveMembership: never });
         harness.stop();
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -33,7 +33,10 @@
 export interface Node {
     /** Listens and joins the other nodes; recovering the configuration goes on in the background. */
     readonly start: () => TaskEither<ListenError, void>;
-    /** Leaves without cutting a request off, unless the settings' drain time is over first. */
+    /**
+     * Leaves without cutting a request off, unless the settings' drain time is over first. May be called while the
+     * start is under way.
+     */
     readonly stop: () => Promise<void>;
 }
 
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -41,6 +41,7 @@
 
 export interface NodeLifecycle {
     readonly start: () => TaskEither<ListenError, void>;
+    /** May be called while the start is under way. */
     readonly stop: () => Promise<void>;
 }
 
@@ -68,7 +69,8 @@
 const recover = async (dependencies: LifecycleDependencies): Promise<void> => {
     const { controlPlane, readiness, requestPath, logger, onRecovered } = dependencies;
     const outcome = await controlPlane.spread.recover();
-    if (outcome.kind === "Recovered") {
+    // A node that is told to stop while it recovers leaves at once; ready now, it would be sent requests that it cuts.
+    if (outcome.kind === "Recovered" && !readiness.draining) {
         readiness.recovered = true;
         requestPath.target.refreshLimit();
         onRecovered();
@@ -118,6 +120,9 @@
             destroyListeners(listening.right);
             return joined;
         }
+        if (readiness.draining) {
+            return joined;
+        }
         readiness.listening = true;
         startBackgroundWork(dependencies);
         logger.info("Listening.", { ...options.listen });
--- a/packages/oleandergap-node/src/runUntilSignal.ts
+++ b/packages/oleandergap-node/src/runUntilSignal.ts
@@ -2,6 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
 import type { Clock } from "oleandergap-types";
+import { raceAbort } from "oleandergap-utils";
 import { ownAdapters, type NodeAdapters } from "./adapters.js";
 import { createNode } from "./createNode.js";
 import { formatListenError } from "./http/listener.js";
@@ -56,7 +57,8 @@
     const { keyReloadMs } = options.cluster;
     const readKeys = fleetKeys && watchFleetKeys({ source: fleetKeys, reloadMs: keyReloadMs, clock, logger, signal });
     const node = createNode({ options, clock, readKeys, adapters, signal });
-    const started = await node.start()();
+    // A node that still waits for other nodes is told to stop like any other; its start is then of no interest.
+    const started = await raceAbort(node.start()(), stopRequested.signal, () => either.right(undefined));
     if (either.isLeft(started)) {
         life.abort();
         return formatListenError(started.left);
--- a/packages/oleandergap-node/src/stopNode.ts
+++ b/packages/oleandergap-node/src/stopNode.ts
@@ -19,14 +19,10 @@
 const waitForGate = ({ requestPath }: LifecycleDependencies, signal: AbortSignal): Promise<void> =>
     raceAbort(requestPath.target.stop(), signal, () => undefined);
 
-/** Serves on, sends callers elsewhere, and resolves when nothing is left in flight. */
-const drainNode = async (
-    dependencies: LifecycleDependencies,
-    listeners: NodeListeners,
-    signal: AbortSignal,
-): Promise<void> => {
+/** Serves on until callers and other nodes have turned elsewhere. */
+const serveOn = (dependencies: LifecycleDependencies, signal: AbortSignal): Promise<void> => {
     const { options, clock, readiness, controlPlane, requestPath } = dependencies;
-    await runStopStages(clock, options.stop, {
+    return runStopStages(clock, options.stop, {
         hasSubstitute: requestPath.hasSubstitute,
         closeGate: () => Promise.all([controlPlane.membership.leave(), waitForGate(dependencies, signal)]),
         refuseCallers: () => {
@@ -34,6 +30,24 @@
         },
         knowsOwnTarget: requestPath.knowsOwnTarget,
     }, signal);
+};
+
+/** A node that has never been ready has refused everybody, so nobody has to be sent elsewhere. */
+const leaveUnserved = async (
+    { options, clock, controlPlane }: LifecycleDependencies,
+    signal: AbortSignal,
+): Promise<void> => {
+    await Promise.all([controlPlane.membership.leave(), clock.sleep(options.stop.lingerMs, signal)]);
+};
+
+/** Resolves when nothing is left in flight. */
+const drainNode = async (
+    dependencies: LifecycleDependencies,
+    listeners: NodeListeners,
+    signal: AbortSignal,
+): Promise<void> => {
+    const { readiness, requestPath } = dependencies;
+    await (readiness.recovered ? serveOn : leaveUnserved)(dependencies, signal);
     await Promise.all([listeners.gateway.drain(0, signal), listeners.gate.drain(0, signal)]);
     await requestPath.claims.leave(signal);
     await requestPath.claims.drain(signal);
