Node, platform: a process that is behind still gives its final answers and ends before the kill

Cause: of the 6 s of grace, draining took 5.6 s, the final answers 0.15 s whether or not they had left, and 0.25 s remained for reading the signal and the timers late, writing the answers, and ending. Ruled out by runs and by reading: the store (a silent one is bounded), the process after the stop (process.exit).

--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -43,8 +43,8 @@
         readonly open: ServerResponse[];
     }
 
-    /** A node whose gateway answers nothing until what is under way is given up. */
-    const startNode = async (waits: Partial<Waits>, isRecovered = true): Promise<Harness> => {
+    /** A node whose gateway answers nothing until `answersAfterMs` after what is under way was given up. */
+    const startNode = async (waits: Partial<Waits>, isRecovered = true, answersAfterMs = 0): Promise<Harness> => {
         const clock = createManualClock();
         const life = new AbortController();
         const [gatewayPort = 0, gatePort = 0, controlPort = 0, adminPort = 0] = await reservePorts(4);
@@ -81,7 +81,8 @@
                 pools: { sweep: () => undefined, destroy: destroyPools },
                 hasSubstitute: () => true,
                 knowsOwnTarget: false,
-                giveUpAll: () => open.splice(0).forEach((response) => response.writeHead(503).end()),
+                giveUpAll: () => void clock.sleep(answersAfterMs, life.signal).then(() =>
+                    open.splice(0).forEach((response) => response.writeHead(503).end())),
             },
             handlers: { gateway: hold, gate: hold, control: hold, admin: hold },
             furtherListeners: [],
@@ -148,4 +149,14 @@
         await harness.clock.advance(END_MS);
         expect(harness.isStopped()).to.equal(true);
     });
+
+    it("leaves no caller without an answer when the process is behind with its final answers", async () => {
+        const harness = await startNode({ stopTarget: never }, true, 350);
+        const answer = await startCall(harness);
+        harness.stop();
+        await harness.clock.advance(DRAIN_MS + 350);
+        expect((await answer()).statusCode).to.equal(503);
+        await harness.clock.advance(END_MS - 350);
+        expect(harness.isStopped()).to.equal(true);
+    });
 });
--- a/packages/oleandergap-node/src/index.ts
+++ b/packages/oleandergap-node/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./createNode.js";
 export * from "./options.js";
 export * from "./runUntilSignal.js";
+export { STOP_END_MS } from "./stopNode.js";
 export type { Readiness } from "./admin/readiness.js";
 export { readJson, readOptionalJson } from "./admin/readJson.js";
 export { readAnswerHeader, type AnswerHeaders } from "./http/answer.js";
--- a/packages/oleandergap-node/src/stopNode.ts
+++ b/packages/oleandergap-node/src/stopNode.ts
@@ -11,11 +11,16 @@
 import type { LifecycleDependencies } from "./nodeLifecycle.js";
 import { runStopStages } from "./stopStages.js";
 
-/** Time in which the final answers to what was given up leave the process; several turns of a busy event loop. */
+/** Time in which the final answers to what was given up reach their callers; several turns of a busy event loop. */
 const FINAL_ANSWERS_MS: Milliseconds = 150;
+/** Further time while callers are still without theirs, for a process that is behind with its events. */
+const LATE_ANSWERS_MS: Milliseconds = 250;
 /** Longest wait for connections to close; they close within a turn of the event loop or two. */
 const CLOSE_MS: Milliseconds = 100;
 
+/** Longest time of a stop beyond `stop.drainTimeoutMs`. */
+export const STOP_END_MS: Milliseconds = FINAL_ANSWERS_MS + LATE_ANSWERS_MS + CLOSE_MS;
+
 const waitForGate = ({ requestPath }: LifecycleDependencies, signal: AbortSignal): Promise<void> =>
     raceAbort(requestPath.target.stop(), signal, () => undefined);
 
@@ -54,10 +59,16 @@
 };
 
 /** Cut off without a word, a caller could not tell whether its request ran, nor when to come back. */
-const giveUpRest = async ({ clock, logger, requestPath, signal }: LifecycleDependencies): Promise<void> => {
+const giveUpRest = async (
+    { clock, logger, requestPath, signal }: LifecycleDependencies,
+    listeners: NodeListeners,
+): Promise<void> => {
     logger.warn("The time for draining is over; what is left is given up.");
     requestPath.giveUpAll();
     await clock.sleep(FINAL_ANSWERS_MS, signal);
+    const late = startTimeLimit(clock, LATE_ANSWERS_MS, signal);
+    await listeners.gateway.drain(0, late.signal);
+    late.cancel();
 };
 
 const closeConnections = async (
@@ -72,7 +83,7 @@
     await Promise.race([closed, clock.sleep(CLOSE_MS, signal)]);
 };
 
-/** Resolves when the process may end, a fraction of a second after the time for draining at the latest. */
+/** Resolves when the process may end: `STOP_END_MS` after the time for draining at the latest. */
 export const stopNode = async (dependencies: LifecycleDependencies, listeners: NodeListeners): Promise<void> => {
     const { options, clock, readiness, signal } = dependencies;
     // Aborts when the time for draining is over or everything is to end at once.
@@ -82,7 +93,7 @@
     // Not all that the steps wait for keeps to the signal, such as a call to a store that is silent.
     await raceAbort(drainNode(dependencies, listeners, limit.signal), limit.signal, () => undefined);
     if (limit.hasPassed()) {
-        await giveUpRest(dependencies);
+        await giveUpRest(dependencies, listeners);
     }
     limit.cancel();
     await closeConnections(dependencies, listeners);
