--- a/packages/oleandergap-node/src/__tests__/silentGates.test.ts
+++ b/packages/oleandergap-node/src/__tests__/silentGates.test.ts
@@ -57,14 +57,7 @@
         return call({ port: gateway.port, headers: HEADERS });
     };
 
-    /*
-     * Symptom: a caller is told 503, a promise that its request has not run and will not. A target has run it.
-     * Sequence: a gate gives no sign for as long as a gateway waits; the request is sent to it once more, and refused.
-     * Cause: the gate's refusal of the second try arrives as an answer, and only failures of this node's own were
-     *   weighed against the fate of the first try.
-     * Evidence: a run was cut 1.2 s after its request can have been handed on at the earliest, the longest silence;
-     *   0.17 s later, the time of one more question, the caller was told that it had not run.
-     */
+    // The first try may still run when the second one is refused.
     it("is not said to have run nothing because it refused the second try", async () => {
         const gate = await startSilentGate(undefined);
         const answer = await read(gate);
@@ -72,9 +65,7 @@
         expect(answer.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
     });
 
-    /*
-     * The same between a gate and its target: the target is silent at the first try, and sheds the second one.
-     */
+    // The same between a gate and its target: silent at the first try, shedding the second one.
     it("is not said to have run nothing because its target refused the second try", async () => {
         let requests = 0;
         const target = await startTarget(cleanup.add, (_request, response) => {
@@ -96,15 +87,7 @@
         expect(answer.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
     });
 
-    /*
-     * Symptom: the run of a read is cut, and its caller gets an answer of the system's own.
-     * Sequence: a node is behind with its events, or a link is full, so that no sign of life arrives in time, while the
-     *   target works on the request.
-     * Cause: the first silence closed the connection and with it the run, although a silence only says that a
-     *   connection may be lost.
-     * Evidence: the run was cut 1.2 s after its request can have been handed on at the earliest, the longest silence,
-     *   and before the signal to stop that came at the same time.
-     */
+    // A silence only says that a connection may be lost; closing it would cut the run.
     it("delivers the answer of a run that goes on", async () => {
         const gate = await startSilentGate(SLOW_MS);
         const answer = await read(gate);
--- a/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
@@ -142,16 +142,7 @@
         await sleep(SETTLE_MS);
     };
 
-    /*
-     * Symptom: a request is handed to a target almost a second after its caller left.
-     * Sequence: a caller sends a request on a connection that it has used before, and hangs up; the node, which has
-     *   just restarted and is short of processor time, reads nothing meanwhile; then it reads the request.
-     * Cause: the request is started in the turn of the event loop in which it is read, and the end of its connection is
-     *   read one turn later. Only nodes of targets looked for it, before they hand a request to their own target.
-     * Evidence: calls that wait for 250 ms at most were handed on, and given up 18 to 36 ms later with more than 210 ms
-     *   left, by a node that had just restarted: their callers had left before they were read. Here, without the look,
-     *   two of six requests are handed on: the one that is read first, and the one that is started in the same turn.
-     */
+    // The end of a used connection is read a turn after the request that arrived with it.
     it("are not handed on by a node that was behind, on connections used before", async () => {
         const gate = await startOtherGate();
         const port = await startNodeGateway(gate.port);
@@ -165,11 +156,7 @@
         expect(gate.received).not.to.include("/left");
     });
 
-    /*
-     * Symptom: a request that waits at a gate is handed to its target almost a second after its caller left, and cut.
-     * Sequence: the node is behind with its events; the answer for which a slot was taken and the end of the waiting
-     *   request's connection have both arrived; the slot goes to the waiting request.
-     */
+    // The answer that frees a slot and the end of the waiting request's connection are read in the same turn.
     it("are not handed to the target by a gate that was behind when their turn came", async () => {
         const received: string[] = [];
         let answerFirst: () => void = () => undefined;
