--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -9,6 +9,7 @@
 import type { FindOwnerRouter } from "../gateway/ownerRouting.js";
 import { createCallerPatience } from "../gateway/callerPatience.js";
 import { createServiceChooser } from "../gateway/routeTable.js";
+import type { LogSilentGate } from "../gateway/silenceLog.js";
 import { createSendToGate } from "../gateway/sendToGate.js";
 import { ownDialects } from "../http/dialect.js";
 import { createCallerSignals, type CallerSignals } from "../http/callerSignal.js";
@@ -58,6 +59,7 @@
     readonly callerSignals?: CallerSignals;
     readonly findOwnerRouter?: FindOwnerRouter;
     readonly gateSilenceMs?: number;
+    readonly logSilence?: LogSilentGate;
     readonly turns?: ListenerOptions["turns"];
 }
 
@@ -90,7 +92,7 @@
             connectionsPerNode: 8,
             gateSilenceMs: options.gateSilenceMs ?? 500,
             bodySilenceMs: 30_000,
-            logSilence: () => undefined,
+            logSilence: options.logSilence ?? (() => undefined),
         }),
         closed,
         callerAt: () => undefined,
--- a/packages/oleandergap-node/src/__tests__/secondTries.test.ts
+++ b/packages/oleandergap-node/src/__tests__/secondTries.test.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { expect } from "chai";
-import { createManualClock } from "oleandergap-utils";
+import { createManualClock, type ManualClock } from "oleandergap-utils";
+import type { LogSilentGate, SilentGate } from "../gateway/silenceLog.js";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
 import { call, createCleanup, startTarget, until, type Received } from "./support.js";
 
@@ -28,8 +29,12 @@
         return { port, tries };
     };
 
-    const ask = async (gate: Gate, clock = createManualClock()): Promise<{ readonly answer: Promise<Received> }> => {
-        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)] });
+    const ask = async (
+        gate: Gate,
+        clock: ManualClock,
+        logSilence: LogSilentGate = () => undefined,
+    ): Promise<{ readonly answer: Promise<Received> }> => {
+        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)], logSilence });
         const answer = call({ port: gateway.port, headers: HEADERS });
         await until(() => gate.tries.length === 1);
         await clock.advance(GATE_SILENCE_MS);
@@ -46,4 +51,19 @@
         gate.tries[1]?.end("run");
         expect(await answer).to.include({ statusCode: 200 });
     });
+
+    it("are told in the log, each when it was silent and when it was given up", async () => {
+        const clock = createManualClock();
+        const gate = await startGate();
+        const told: SilentGate[] = [];
+        const { answer } = await ask(gate, clock, (silent) => told.push(silent));
+        await clock.advance(2 * GATE_SILENCE_MS);
+        await answer;
+        expect(told.map(({ isLost, sinceSentMs }) => ({ isLost, sinceSentMs }))).to.deep.equal([
+            { isLost: false, sinceSentMs: GATE_SILENCE_MS },
+            { isLost: true, sinceSentMs: 2 * GATE_SILENCE_MS },
+            { isLost: false, sinceSentMs: GATE_SILENCE_MS },
+            { isLost: true, sinceSentMs: 2 * GATE_SILENCE_MS },
+        ]);
+    });
 });
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -31,7 +31,7 @@
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
 import type { RequestBody } from "../http/requestBody.js";
-import { sendWatched, type OpenTry } from "../http/watchedExchange.js";
+import { sendWatched, type OpenTry, type Silence } from "../http/watchedExchange.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { LogSilentGate } from "./silenceLog.js";
 
@@ -163,6 +163,8 @@
     const sendToNode = async (target: TargetMember, attempt: GateAttempt): Promise<GateOutcome> => {
         const { request, body, deadline, signal, progress } = attempt;
         progress.expectSigns();
+        const log = (silence: Silence, wasSilent: boolean): void =>
+            dependencies.logSilence({ nodeId: target.nodeId, wasSilent, isProbe: progress.isProbe, ...silence });
         const { outcome, open } = await sendWatched(clock, {
             method: request.method,
             path: request.path,
@@ -185,9 +187,10 @@
             onSign: progress.heard,
             onSilence: (silence) => {
                 const wasSilent = progress.silent();
-                dependencies.logSilence({ nodeId: target.nodeId, wasSilent, isProbe: progress.isProbe, ...silence });
+                log(silence, wasSilent);
                 return wasSilent;
             },
+            onLoss: (silence) => log(silence, true),
         });
         const result = readOutcome(outcome, attempt);
         return open === undefined ? result : { ...result, open: readOpenTry(open, attempt) };
--- a/packages/oleandergap-node/src/gateway/silenceLog.ts
+++ b/packages/oleandergap-node/src/gateway/silenceLog.ts
@@ -25,12 +25,13 @@
     const bucket = createTokenBucket({ clock, ratePerSecond: () => LINES_PER_SECOND, burst: LINES_PER_SECOND });
     let leftOut = 0;
 
-    return ({ nodeId, wasSilent, isProbe, signs, lateMs }) => {
+    return ({ sinceSentMs, lateMs, ...gate }) => {
         if (!bucket.tryTake()) {
             leftOut += 1;
             return;
         }
-        logger.info("A gate was silent.", { nodeId, wasSilent, isProbe, signs, lateMs: Math.round(lateMs), leftOut });
+        const times = { sinceSentMs: Math.round(sinceSentMs), lateMs: Math.round(lateMs) };
+        logger.info("A gate was silent.", { ...gate, ...times, leftOut });
         leftOut = 0;
     };
 };
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -53,10 +53,16 @@
     readonly onSign?: () => void;
     /** Told each silence at once; true if another try at the same target is pointless. */
     readonly onSilence?: (silence: Silence) => boolean;
+    /** Told when a try is given up for its silence. */
+    readonly onLoss?: (silence: Silence) => void;
 }
 
 /** What is known when the other side has given no sign for too long. */
 export interface Silence {
+    /** The connection counts as lost, and the try is given up; if not, the try goes on. */
+    readonly isLost: boolean;
+    /** Time since the try was sent. */
+    readonly sinceSentMs: Milliseconds;
     /** Signs that came before, in this try. */
     readonly signs: number;
     /** See `ProgressWatchOptions.onSilence`. */
@@ -116,7 +122,8 @@
     let isPointless = false;
     let signs = 0;
     let wasSilent = false;
-    let heardAt = clock.monotonic();
+    const sentAt = clock.monotonic();
+    let heardAt = sentAt;
     let tellSilence: (silence: "Silent") => void = () => undefined;
     const silence = new Promise<"Silent">((resolve) => {
         tellSilence = resolve;
@@ -130,13 +137,17 @@
     };
     const cancel = (): void => end("Cancelled");
     const onSilence = (lateMs: Milliseconds): void => {
-        if (clock.monotonic() - heardAt >= lossMs) {
+        const now = clock.monotonic();
+        const isLost = now - heardAt >= lossMs;
+        const told: Silence = { isLost, sinceSentMs: now - sentAt, signs, lateMs };
+        if (isLost) {
+            request.onLoss?.(told);
             end("Silent");
         }
         if (!wasSilent) {
             wasSilent = true;
             request.renewConnections();
-            isPointless = request.onSilence?.({ signs, lateMs }) ?? false;
+            isPointless = request.onSilence?.(told) ?? false;
             tellSilence("Silent");
         }
     };
