Failing test: three questions for a version in force keep the holder of a newer one from being asked

Three holders of version 2 trickle or hang; version 2 comes in a datagram; a fourth member tells of version 3. With three questions under way no timer runs, tell does nothing in the state Pulling, and only pullNext gives up what is not wanted any more. Fails with: expected 2 to equal 3.

--- /dev/null
+++ b/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import type { Either } from "fp-ts/lib/Either.js";
+import { createLogger } from "oleandergap-logger";
+import type { Head, Milliseconds, Sequence } from "oleandergap-types";
+import { createManualClock, createSeededRandom } from "oleandergap-utils";
+import { createArrivals } from "../arrivals.js";
+import { formatClaimSource, type ClaimSource } from "../claimBook.js";
+import { defaultDistributionOptions } from "../options.js";
+import type { PeerAddress } from "../ports.js";
+import { createCounters } from "../statistics.js";
+import type { FetchFailure } from "../versionFetcher.js";
+import { createVersionPuller, type VersionPullerDependencies } from "../versionPuller.js";
+
+/** Time in which a confirmed version is to be in force at every node that can be reached. */
+const LONGEST_MS = 2_500;
+/** Time after which three sources have been asked. */
+const THREE_ASKED_MS = 2 * defaultDistributionOptions.pull.answerPatienceMs;
+const PARTNER = "halloway";
+
+type Outcome = Either<FetchFailure, Sequence>;
+
+const peerOf = (id: string): PeerAddress => ({ id, zone: "zone-0", address: "127.0.0.1", controlPort: 1_024 });
+const headOf = (sequence: Sequence): Head => ({ partner: PARTNER, sequence, digest: String(sequence) });
+const fromPeer = (id: string): ClaimSource => ({ kind: "Peer", peer: peerOf(id) });
+
+/** A puller of a node that holds version 1. */
+const startPuller = (answerOf: (source: string) => Promise<Outcome>, budgetMs: Milliseconds = 0) => {
+    const clock = createManualClock();
+    const logger = createLogger("test");
+    let sequence = 1;
+    const apply = (next: Sequence): void => {
+        sequence = Math.max(sequence, next);
+    };
+    const puller = createVersionPuller({
+        partner: PARTNER,
+        store: { document: () => ({ ...headOf(sequence), cells: {} }), isWanted: (head) => head.sequence > sequence },
+        fetchVersion: async (_partner, source) => {
+            const outcome = await answerOf(formatClaimSource(source));
+            return either.map(apply)(outcome);
+        },
+        otherPeers: () => [],
+        budget: { timeToNext: () => budgetMs },
+        arrivals: createArrivals({ clock, logger }),
+        followsPlatform: () => false,
+        clock,
+        random: createSeededRandom(1),
+        logger,
+        options: defaultDistributionOptions.pull,
+        counters: createCounters(),
+        signal: new AbortController().signal,
+    } satisfies VersionPullerDependencies);
+    return { clock, puller, apply, sequence: () => sequence };
+};
+
+const never = (): Promise<never> => new Promise(() => undefined);
+
+describe("createVersionPuller", () => {
+    // Guards against questions for what is in force already that take the places of those for what is newer.
+    it("asks the holder of a newer version while three questions for an older one hang", async () => {
+        const { clock, puller, apply, sequence } = startPuller((source) =>
+            source === "quick" ? Promise.resolve(either.right(3)) : never());
+        ["a", "b", "c"].forEach((id) => puller.tell({ head: headOf(2), source: fromPeer(id) }));
+        await clock.advance(THREE_ASKED_MS);
+        apply(2);
+        puller.tell({ head: headOf(3), source: fromPeer("quick") });
+        await clock.advance(LONGEST_MS);
+        expect(sequence()).to.equal(3);
+    });
+});
