Failing test: a node out of reads of the platform does not ask the peers that it knows of

One teller is silent, another one holds the version and answers at once; the same head comes from the platform. With the patience over, the platform's claim goes first (same number, told later), the budget refuses it, and the puller waits for the next read; the claim of the second teller stands in the book. Callers see the old version for timeToNext.

--- a/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
@@ -67,4 +67,19 @@
         await clock.advance(LONGEST_MS);
         expect(sequence()).to.equal(3);
     });
+
+    // Guards against a wait for the next read of the platform while a peer that told of the version has not been asked.
+    it("asks the peers that it knows of while no read of the platform is left", async () => {
+        const { clock, puller, sequence } = startPuller((source) => {
+            if (source === "platform") {
+                return Promise.resolve(either.left({ kind: "OverBudget" }));
+            }
+            return source === "quick" ? Promise.resolve(either.right(2)) : never();
+        }, 4 * LONGEST_MS);
+        puller.tell({ head: headOf(2), source: fromPeer("silent") });
+        puller.tell({ head: headOf(2), source: fromPeer("quick") });
+        puller.tell({ head: headOf(2), source: { kind: "Platform" } });
+        await clock.advance(LONGEST_MS);
+        expect(sequence()).to.equal(2);
+    });
 });
