A question to a member that told of no version is kept while the version is wanted

What callers saw: a route that was confirmed long before was answered 404 where answers took longer than the patience of 0.3 s.

Cause: each further question gave up all those without a claim, so that no member that was asked at random could deliver.

Change: every question notes the version that it is asked for, and is given up once that is in force.

--- a/packages/oleandergap-distribution/src/choosePull.ts
+++ b/packages/oleandergap-distribution/src/choosePull.ts
@@ -25,15 +25,20 @@
     { claims, isAsked, hasFailedLast, otherPeers, random }: PullChoice,
 ): PullAttempt | undefined => {
     const canBeAsked = (source: ClaimSource): boolean => !hasFailedLast(source) && !isAsked(source);
+    const [newest] = claims;
+    if (newest === undefined) {
+        return undefined;
+    }
+    const wanted = newest.head;
     const next = claims.find((claim) => canBeAsked(claim.source));
-    if (next !== undefined || claims.length === 0) {
-        return next && { source: next.source, claim: next };
+    if (next !== undefined) {
+        return { source: next.source, wanted, claim: next };
     }
     const others = otherPeers().map((peer): ClaimSource => ({ kind: "Peer", peer }));
     const other = pickOne(random, others.filter(canBeAsked));
     if (other !== undefined) {
-        return { source: other, claim: undefined };
+        return { source: other, wanted, claim: undefined };
     }
     const last = claims.find((claim) => !isAsked(claim.source));
-    return last && { source: last.source, claim: last };
+    return last && { source: last.source, wanted, claim: last };
 };
--- a/packages/oleandergap-distribution/src/pullsUnderWay.ts
+++ b/packages/oleandergap-distribution/src/pullsUnderWay.ts
@@ -6,9 +6,12 @@
 import { formatClaimSource, type Claim, type ClaimSource } from "./claimBook.js";
 import type { FetchFailure } from "./versionFetcher.js";
 
-/** One question to one source; `claim` is what this source told, if it told anything. */
+/** One question to one source. */
 export interface PullAttempt {
     readonly source: ClaimSource;
+    /** The newest version that is known of when the question is asked. */
+    readonly wanted: Head;
+    /** What this source told, if it told anything. */
     readonly claim: Claim | undefined;
 }
 
@@ -29,8 +32,11 @@
     readonly size: () => number;
     readonly isAsked: (source: ClaimSource) => boolean;
     readonly start: (attempt: PullAttempt) => void;
-    /** Gives up the questions whose answers bring nothing that is still wanted; nothing is told of them any more. */
-    readonly giveUpUnless: (isWanted: (head: Head) => boolean) => void;
+    /**
+     * Gives up the questions whose answers bring nothing that is still wanted; nothing is told of them any more. False
+     * when there are none.
+     */
+    readonly giveUpUnless: (isWanted: (head: Head) => boolean) => boolean;
 }
 
 interface RunningPull {
@@ -67,12 +73,12 @@
         isAsked: (source) => running.has(formatClaimSource(source)),
         start: (attempt) => void run(formatClaimSource(attempt.source), attempt),
         giveUpUnless: (isWanted) => {
-            for (const [key, { attempt, abort }] of running) {
-                if (attempt.claim === undefined || !isWanted(attempt.claim.head)) {
-                    running.delete(key);
-                    abort();
-                }
+            const unwanted = [...running].filter(([, { attempt }]) => !isWanted(attempt.wanted));
+            for (const [key, { abort }] of unwanted) {
+                running.delete(key);
+                abort();
             }
+            return unwanted.length > 0;
         },
     };
 };
