Questions for a version that is in force make room for those for a newer one

What callers saw: the old version, for up to ten seconds, at a node of which three questions hung when a datagram brought their answer.

Cause: with three questions under way no timer runs, and only the next question looked at what is still wanted.

Change: whoever tells of a newer version ends the questions for what has come into force since, and is asked. Counting and logging of failures moved to pullFailures.ts, unchanged.

The harness of that test got the type of its result, as the linter demands.

--- a/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
@@ -3,14 +3,14 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import { createLogger } from "oleandergap-logger";
 import type { Head, Milliseconds, Sequence } from "oleandergap-types";
-import { createManualClock, createSeededRandom } from "oleandergap-utils";
+import { createManualClock, createSeededRandom, type ManualClock } from "oleandergap-utils";
 import { createArrivals } from "../arrivals.js";
 import { formatClaimSource, type ClaimSource } from "../claimBook.js";
 import { defaultDistributionOptions } from "../options.js";
 import type { PeerAddress } from "../ports.js";
 import { createCounters } from "../statistics.js";
 import type { FetchFailure } from "../versionFetcher.js";
-import { createVersionPuller, type VersionPullerDependencies } from "../versionPuller.js";
+import { createVersionPuller, type VersionPuller, type VersionPullerDependencies } from "../versionPuller.js";
 
 /** Time in which a confirmed version is to be in force at every node that can be reached. */
 const LONGEST_MS = 2_500;
@@ -24,8 +24,16 @@
 const headOf = (sequence: Sequence): Head => ({ partner: PARTNER, sequence, digest: String(sequence) });
 const fromPeer = (id: string): ClaimSource => ({ kind: "Peer", peer: peerOf(id) });
 
+interface Harness {
+    readonly clock: ManualClock;
+    readonly puller: VersionPuller;
+    /** Puts a version in force as a datagram does. */
+    readonly apply: (next: Sequence) => void;
+    readonly sequence: () => Sequence;
+}
+
 /** A puller of a node that holds version 1. */
-const startPuller = (answerOf: (source: string) => Promise<Outcome>, budgetMs: Milliseconds = 0) => {
+const startPuller = (answerOf: (source: string) => Promise<Outcome>, budgetMs: Milliseconds = 0): Harness => {
     const clock = createManualClock();
     const logger = createLogger("test");
     let sequence = 1;
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -14,6 +14,7 @@
 import type { PullOptions } from "./options.js";
 import type { ConfigurationStorePort, PeerAddress } from "./ports.js";
 import { startTimer } from "./periodic.js";
+import { createFailureReport } from "./pullFailures.js";
 import { createPullsUnderWay, type PullAttempt } from "./pullsUnderWay.js";
 import type { ReadBudget } from "./readBudget.js";
 import type { SpreadCounters } from "./statistics.js";
@@ -57,9 +58,6 @@
     /** A peer told a head that this node is about to hear from the platform. */
     | { readonly kind: "Patient"; readonly cancel: CancelTimer };
 
-const formatFailure = (failure: FetchFailure): string =>
-    "detail" in failure ? `${failure.kind}: ${failure.detail}` : failure.kind;
-
 /** Whether the version came into force in another way while its holder was asked. */
 const isOvertaken = (
     { store }: Pick<VersionPullerDependencies, "store">,
@@ -85,6 +83,7 @@
     let lastFailed: string | undefined;
 
     const sequence = (): Sequence => store.document(partner).sequence;
+    const reportFailure = createFailureReport({ ...dependencies, book, sequence });
 
     const hasFailedLast = (source: ClaimSource): boolean => formatClaimSource(source) === lastFailed;
 
@@ -92,31 +91,18 @@
         state = { kind: "Waiting", cancel: startTimer(clock, signal, delay, pullNext) };
     };
 
-    const noteFailure = ({ source, claim }: PullAttempt, failure: FetchFailure, startedAt: Milliseconds): void => {
-        lastFailed = formatClaimSource(source);
+    const waitForRead = (): void => {
+        const delay = budget.timeToNext() + drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs);
+        state = { kind: "OverBudget", cancel: startTimer(clock, signal, delay, pullNext) };
+    };
+
+    const noteFailure = (attempt: PullAttempt, failure: FetchFailure, startedAt: Milliseconds): void => {
+        lastFailed = formatClaimSource(attempt.source);
         if (failure.kind === "OverBudget") {
-            const delay = budget.timeToNext() + drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs);
-            state = { kind: "OverBudget", cancel: startTimer(clock, signal, delay, pullNext) };
+            waitForRead();
             return;
         }
-        counters.pullFailures += 1;
-        arrivals.noteFailedPull({
-            partner,
-            source: lastFailed,
-            reason: formatFailure(failure),
-            durationMs: clock.monotonic() - startedAt,
-        });
-        // A node without any version has nothing to fall back to: set aside, a true head would keep it out for as long.
-        const meaning = failure.kind === "NoAnswer" ? "Unanswered" : "Disproved";
-        if (claim !== undefined && sequence() > 0 && book.countFailure(claim, meaning)) {
-            counters.claimsSetAside += 1;
-            logger.warn("A claimed version could not be had from its holder.", {
-                partner,
-                sequence: claim.head.sequence,
-                source: lastFailed,
-                meaning,
-            });
-        }
+        reportFailure(attempt, failure, startedAt);
         const exponent = Math.min(failuresInARow, MAX_BACKOFF_EXPONENT);
         failuresInARow += 1;
         waitBefore(drawBackoff(random, exponent, options.backoffBaseMs, options.backoffMaximumMs));
@@ -201,6 +187,11 @@
             if (state.kind === "Idle") {
                 startPulling(isFromPlatform);
             }
+            else if (underWay.giveUpUnless(store.isWanted)) {
+                // Answers for what is in force by now would take the places of those for what is newer.
+                cancelTimer();
+                pullNext();
+            }
         },
         expectedSequence: () => Math.max(sequence(), book.claims()[0]?.head.sequence ?? 0),
     };
