Peers that told of a version are asked before the next read of the platform

What callers saw: the old version until a node's next read of the platform, many seconds, though a peer that had told of the new one had not been asked.

Cause: the platform's claim came last and was taken first; refused by the budget, the puller waited for the next read.

Change: while peers with a claim have not been asked, the wait is a back-off.

--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -76,7 +76,7 @@
  */
 export const createVersionPuller = (dependencies: VersionPullerDependencies): VersionPuller => {
     const { partner, store, fetchVersion, otherPeers, budget, arrivals, followsPlatform } = dependencies;
-    const { clock, random, logger, options, counters, signal } = dependencies;
+    const { clock, random, options, counters, signal } = dependencies;
     const book = createClaimBook({ clock, options });
     let state: PullerState = { kind: "Idle" };
     let failuresInARow = 0;
@@ -91,8 +91,11 @@
         state = { kind: "Waiting", cancel: startTimer(clock, signal, delay, pullNext) };
     };
 
+    /** Peers that told of the version are asked at once: the next read may be many seconds away. */
     const waitForRead = (): void => {
-        const delay = budget.timeToNext() + drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs);
+        const knowsPeers = book.claims().some(({ source }) => source.kind === "Peer" && !underWay.isAsked(source));
+        const backoff = drawBackoff(random, 0, options.backoffBaseMs, options.backoffMaximumMs);
+        const delay = knowsPeers ? backoff : budget.timeToNext() + backoff;
         state = { kind: "OverBudget", cancel: startTimer(clock, signal, delay, pullNext) };
     };
 
