Failing test: parallel questions hold each other up on this node's own narrow link

Three tellers are asked within 0.6 s; their answers share the asker's link, on which one alone takes 1.5 s. All three are whole after 3.75 s; a silence of the holder and a full link of the asker look the same to the patience. Callers see 404 for a new route, or the old one, past 2.5 s at nodes with narrow or full links when a version is large. Fails with: expected 1 to equal 2.

--- a/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
@@ -16,6 +16,8 @@
 const LONGEST_MS = 2_500;
 /** Time after which three sources have been asked. */
 const THREE_ASKED_MS = 2 * defaultDistributionOptions.pull.answerPatienceMs;
+/** A part of an answer's way over a link. */
+const STEP_MS = 10;
 const PARTNER = "halloway";
 
 type Outcome = Either<FetchFailure, Sequence>;
@@ -33,8 +35,11 @@
 }
 
 /** A puller of a node that holds version 1. */
-const startPuller = (answerOf: (source: string) => Promise<Outcome>, budgetMs: Milliseconds = 0): Harness => {
-    const clock = createManualClock();
+const startPuller = (
+    answerOf: (source: string, signal: AbortSignal) => Promise<Outcome>,
+    budgetMs: Milliseconds = 0,
+    clock: ManualClock = createManualClock(),
+): Harness => {
     const logger = createLogger("test");
     let sequence = 1;
     const apply = (next: Sequence): void => {
@@ -43,8 +48,8 @@
     const puller = createVersionPuller({
         partner: PARTNER,
         store: { document: () => ({ ...headOf(sequence), cells: {} }), isWanted: (head) => head.sequence > sequence },
-        fetchVersion: async (_partner, source) => {
-            const outcome = await answerOf(formatClaimSource(source));
+        fetchVersion: async (_partner, source, { signal }) => {
+            const outcome = await answerOf(formatClaimSource(source), signal);
             return either.map(apply)(outcome);
         },
         otherPeers: () => [],
@@ -61,6 +66,18 @@
     return { clock, puller, apply, sequence: () => sequence };
 };
 
+/** A link of this node that its answers share evenly; one alone takes `wholeMs`. */
+const createSharedLink = (clock: ManualClock, wholeMs: Milliseconds) => {
+    let answers = 0;
+    return async (signal: AbortSignal): Promise<void> => {
+        answers += 1;
+        for (let left = wholeMs; left > 0 && !signal.aborted; left -= STEP_MS / answers) {
+            await clock.sleep(STEP_MS, signal);
+        }
+        answers -= 1;
+    };
+};
+
 const never = (): Promise<never> => new Promise(() => undefined);
 
 describe("createVersionPuller", () => {
@@ -90,4 +107,17 @@
         await clock.advance(LONGEST_MS);
         expect(sequence()).to.equal(2);
     });
+
+    // Guards against answers that hold each other up on this node's own link, of which one alone is in time.
+    it("has a version in time although its own link is narrow", async () => {
+        const clock = createManualClock();
+        const receive = createSharedLink(clock, 0.6 * LONGEST_MS);
+        const { puller, sequence } = startPuller(async (_source, signal) => {
+            await receive(signal);
+            return either.right(2);
+        }, 0, clock);
+        ["a", "b", "c"].forEach((id) => puller.tell({ head: headOf(2), source: fromPeer(id) }));
+        await clock.advance(LONGEST_MS);
+        expect(sequence()).to.equal(2);
+    });
 });
