While an answer keeps arriving, others are asked later

What callers saw: 404 for a new route, or the old one, past 2.5 s, at a node whose own link is narrow or full.

Cause: three questions within 0.6 s share the asker's link, so that answers of which one alone is whole after 1.5 s come after 3.75 s.

Change: the exchange with a peer tells that parts of the answer arrive; as long as they do, another source is asked only after 1 s (pull.arrivingPatienceMs), of which a holder that trickles is still found out in time.

--- a/packages/oleandergap-distribution/src/__tests__/longAnswers.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/longAnswers.test.ts
@@ -35,6 +35,7 @@
 describe("exchangeWithPeer with a long answer", () => {
     const play = async (
         send: (response: ServerResponse, clock: ManualClock, agent: Agent) => Promise<void>,
+        onProgress?: () => void,
     ): Promise<ExchangeResult> => {
         const clock = createManualClock();
         const agent = new Agent({ keepAlive: true });
@@ -48,6 +49,7 @@
             authorization: undefined,
             body: undefined,
             timeoutMs: TIMEOUT_MS,
+            onProgress,
             signal: new AbortController().signal,
         }, { agent, clock, countBytes: () => undefined });
         agent.destroy();
@@ -69,6 +71,21 @@
         expect(either.isRight(outcome) && outcome.right.text.length).to.equal(CHUNKS * CHUNK.length);
     });
 
+    it("tells that an answer is arriving before it is whole", async () => {
+        let progress = 0;
+        let progressBefore = 0;
+        await play(async (response, _clock, agent) => {
+            response.writeHead(200, { "content-length": 2 * CHUNK.length });
+            response.write(CHUNK);
+            await waitUntilRead(agent, CHUNK.length);
+            progressBefore = progress;
+            response.end(CHUNK);
+        }, () => {
+            progress += 1;
+        });
+        expect(progressBefore).to.be.greaterThan(0);
+    });
+
     it("gives an answer up that stops in the middle", async () => {
         const outcome = await play(async (response, clock, agent) => {
             response.writeHead(200, { "content-length": CHUNKS * CHUNK.length });
--- a/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/versionPuller.test.ts
@@ -36,7 +36,7 @@
 
 /** A puller of a node that holds version 1. */
 const startPuller = (
-    answerOf: (source: string, signal: AbortSignal) => Promise<Outcome>,
+    answerOf: (source: string, signal: AbortSignal, onProgress?: () => void) => Promise<Outcome>,
     budgetMs: Milliseconds = 0,
     clock: ManualClock = createManualClock(),
 ): Harness => {
@@ -48,8 +48,8 @@
     const puller = createVersionPuller({
         partner: PARTNER,
         store: { document: () => ({ ...headOf(sequence), cells: {} }), isWanted: (head) => head.sequence > sequence },
-        fetchVersion: async (_partner, source, { signal }) => {
-            const outcome = await answerOf(formatClaimSource(source), signal);
+        fetchVersion: async (_partner, source, { signal, onProgress }) => {
+            const outcome = await answerOf(formatClaimSource(source), signal, onProgress);
             return either.map(apply)(outcome);
         },
         otherPeers: () => [],
@@ -69,10 +69,11 @@
 /** A link of this node that its answers share evenly; one alone takes `wholeMs`. */
 const createSharedLink = (clock: ManualClock, wholeMs: Milliseconds) => {
     let answers = 0;
-    return async (signal: AbortSignal): Promise<void> => {
+    return async (signal: AbortSignal, onProgress: () => void = () => undefined): Promise<void> => {
         answers += 1;
         for (let left = wholeMs; left > 0 && !signal.aborted; left -= STEP_MS / answers) {
             await clock.sleep(STEP_MS, signal);
+            onProgress();
         }
         answers -= 1;
     };
@@ -112,8 +113,8 @@
     it("has a version in time although its own link is narrow", async () => {
         const clock = createManualClock();
         const receive = createSharedLink(clock, 0.6 * LONGEST_MS);
-        const { puller, sequence } = startPuller(async (_source, signal) => {
-            await receive(signal);
+        const { puller, sequence } = startPuller(async (_source, signal, onProgress) => {
+            await receive(signal, onProgress);
             return either.right(2);
         }, 0, clock);
         ["a", "b", "c"].forEach((id) => puller.tell({ head: headOf(2), source: fromPeer(id) }));
--- a/packages/oleandergap-distribution/src/options.ts
+++ b/packages/oleandergap-distribution/src/options.ts
@@ -27,6 +27,8 @@
     longestMs: milliseconds(50, 60_000).default(10_000),
     /** Time after which another source is asked too, if none has delivered; several times what an answer takes. */
     answerPatienceMs: milliseconds(10, 60_000).default(300),
+    /** The same while an answer keeps arriving: asked twice, a node with a narrow link would have both late. */
+    arrivingPatienceMs: milliseconds(10, 60_000).default(1_000),
     /** Time that one read of the platform may take. */
     platformTimeoutMs: milliseconds(50, 60_000).default(2_000),
     /** Bound of the random wait after the first failure; doubles with each further one. */
--- a/packages/oleandergap-distribution/src/peerClient.ts
+++ b/packages/oleandergap-distribution/src/peerClient.ts
@@ -21,7 +21,7 @@
     versionAnswerSchema,
 } from "./peerSchemas.js";
 import { exchangeWithPeer, type ExchangeBytes, type ExchangeDependencies } from "./peerTransport.js";
-import type { PeerAddress, PeerDirectoryPort, PeerPort } from "./ports.js";
+import type { NoteProgress, PeerAddress, PeerDirectoryPort, PeerPort } from "./ports.js";
 
 /** Value of the `authorization` header of calls to a node; undefined where no key is set. */
 export type AuthorizeCall = (node: Pick<PeerAddress, "address" | "controlPort">) => string | undefined;
@@ -107,7 +107,11 @@
     };
     const exchangeDependencies: ExchangeDependencies = { agent, clock, countBytes };
 
-    const createCallClient = (peer: PeerAddress, failure: CallFailure): TRPCClient<PeerRouter> =>
+    const createCallClient = (
+        peer: PeerAddress,
+        failure: CallFailure,
+        onProgress: NoteProgress | undefined,
+    ): TRPCClient<PeerRouter> =>
         createTRPCClient<PeerRouter>({
             links: [httpLink({
                 url: `http://${formatHost(peer)}${PEER_PATH}`,
@@ -123,6 +127,7 @@
                         timeoutMs: options.timeoutMs,
                         longestMs: options.longestMs,
                         signal: init?.signal ?? new AbortController().signal,
+                        onProgress,
                     }, exchangeDependencies);
                     if (either.isLeft(outcome)) {
                         failure.error = outcome.left;
@@ -139,12 +144,13 @@
         schema: Schema,
         query: Query<unknown>,
         signal: AbortSignal,
+        onProgress?: NoteProgress,
     ): TaskEither<PeerError, z.output<Schema>> => async () => {
         const failure: CallFailure = { error: undefined };
         counts.calls += 1;
         let outcome: Either<PeerError, z.output<Schema>>;
         try {
-            outcome = checkAnswer(schema, await query(createCallClient(peer, failure), signal));
+            outcome = checkAnswer(schema, await query(createCallClient(peer, failure, onProgress), signal));
         }
         catch (error) {
             outcome = either.left(toPeerError(error, failure));
@@ -158,10 +164,12 @@
             call(peer, pingAnswerSchema, (client) => client.ping.query(undefined, { signal }), signal),
         heads: (peer, signal) =>
             call(peer, headsAnswerSchema, (client) => client.heads.query(undefined, { signal }), signal),
-        deltasSince: (peer, query, signal) =>
-            call(peer, versionAnswerSchema, (client) => client.deltasSince.query(query, { signal }), signal),
-        document: (peer, query, signal) =>
-            call(peer, documentSchema, (client) => client.document.query(query, { signal }), signal),
+        deltasSince: (peer, query, signal, onProgress) => {
+            const ask: Query<unknown> = (client) => client.deltasSince.query(query, { signal });
+            return call(peer, versionAnswerSchema, ask, signal, onProgress);
+        },
+        document: (peer, query, signal, onProgress) =>
+            call(peer, documentSchema, (client) => client.document.query(query, { signal }), signal, onProgress),
         zoneTargets: (peer, request, signal) =>
             call(peer, zoneTargetsAnswerSchema, (client) => client.zoneTargets.query(request, { signal }), signal),
         contacts: (peer, signal) =>
--- a/packages/oleandergap-distribution/src/peerTransport.ts
+++ b/packages/oleandergap-distribution/src/peerTransport.ts
@@ -10,6 +10,7 @@
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { linkSignal, watchSilence, type PassedLimit } from "oleandergap-utils";
 import type { PeerError } from "./peerError.js";
+import type { NoteProgress } from "./ports.js";
 
 /** One question to a peer, and the bounds on its answer. */
 export interface PeerExchange {
@@ -27,6 +28,7 @@
     /** Longest time in all. */
     readonly longestMs: Milliseconds;
     readonly signal: AbortSignal;
+    readonly onProgress?: NoteProgress | undefined;
 }
 
 /** An answer that arrived whole, decompressed; its HTTP status may be an error. */
@@ -159,7 +161,11 @@
         passed = which;
         limit.abort();
     });
-    const { request, result } = sendQuestion(exchange, agent, limit.signal, watch.noteProgress);
+    const noteProgress = (): void => {
+        watch.noteProgress();
+        exchange.onProgress?.();
+    };
+    const { request, result } = sendQuestion(exchange, agent, limit.signal, noteProgress);
     const bytesBefore = watchBytesBefore(request);
     const outcome = await result;
     watch.cancel();
--- a/packages/oleandergap-distribution/src/ports.ts
+++ b/packages/oleandergap-distribution/src/ports.ts
@@ -73,6 +73,9 @@
     readonly partner: PartnerName;
 }
 
+/** Told each time that a part of an answer has arrived. */
+export type NoteProgress = () => void;
+
 /** Calls to another node. Each ends when `signal` aborts, and in any case after the client's own timeout. */
 export interface PeerPort {
     readonly ping: (peer: PeerAddress, signal: AbortSignal) => TaskEither<PeerError, PingAnswer>;
@@ -81,11 +84,13 @@
         peer: PeerAddress,
         query: DeltasQuery,
         signal: AbortSignal,
+        onProgress?: NoteProgress,
     ) => TaskEither<PeerError, VersionAnswer>;
     readonly document: (
         peer: PeerAddress,
         query: DocumentQuery,
         signal: AbortSignal,
+        onProgress?: NoteProgress,
     ) => TaskEither<PeerError, PartnerDocument>;
 }
 
--- a/packages/oleandergap-distribution/src/versionFetcher.ts
+++ b/packages/oleandergap-distribution/src/versionFetcher.ts
@@ -6,7 +6,13 @@
 import { callWithin, type CallBound } from "./boundedCall.js";
 import type { ClaimSource } from "./claimBook.js";
 import type { PeerHeads } from "./peerHeads.js";
-import type { ConfigurationSourcePort, ConfigurationStorePort, PeerAddress, PeerPort } from "./ports.js";
+import type {
+    ConfigurationSourcePort,
+    ConfigurationStorePort,
+    NoteProgress,
+    PeerAddress,
+    PeerPort,
+} from "./ports.js";
 import type { SpreadCounters } from "./statistics.js";
 import { READS_PER_DOCUMENT, type ReadBudget } from "./readBudget.js";
 
@@ -29,11 +35,16 @@
     readonly counters: SpreadCounters;
 }
 
+/** How long a fetch may take, and who is told while its answer arrives. */
+export interface FetchBound extends CallBound {
+    readonly onProgress?: NoteProgress;
+}
+
 /** Fetches from one source; a right result means that a newer version came into force. */
 export type FetchVersion = (
     partner: PartnerName,
     from: ClaimSource,
-    bound: CallBound,
+    bound: FetchBound,
 ) => Promise<Either<FetchFailure, void>>;
 
 type FetchResult = Either<FetchFailure, void>;
@@ -72,15 +83,17 @@
     const fetchPeerDocument = async (
         partner: PartnerName,
         peer: PeerAddress,
-        bound: CallBound,
+        bound: FetchBound,
     ): Promise<FetchResult> => {
-        const answer = await callWithin((signal) => peers.document(peer, { partner }, signal), bound);
+        const { onProgress } = bound;
+        const answer = await callWithin((signal) => peers.document(peer, { partner }, signal, onProgress), bound);
         return either.isLeft(answer) ? noAnswer(answer.left) : offerPeerDocument(peer, answer.right);
     };
 
-    const fetchFromPeer = async (partner: PartnerName, peer: PeerAddress, bound: CallBound): Promise<FetchResult> => {
+    const fetchFromPeer = async (partner: PartnerName, peer: PeerAddress, bound: FetchBound): Promise<FetchResult> => {
         const query = { partner, sequence: sequenceOf(partner) };
-        const answer = await callWithin((signal) => peers.deltasSince(peer, query, signal), bound);
+        const { onProgress } = bound;
+        const answer = await callWithin((signal) => peers.deltasSince(peer, query, signal, onProgress), bound);
         if (either.isLeft(answer)) {
             return noAnswer(answer.left);
         }
--- a/packages/oleandergap-distribution/src/versionPuller.ts
+++ b/packages/oleandergap-distribution/src/versionPuller.ts
@@ -67,8 +67,6 @@
 
 /** Longest exponent of the back-off; the bound is reached before it. */
 const MAX_BACKOFF_EXPONENT = 16;
-/** Sources that are asked at the same time: two of them may be dead or behind full links. */
-const MAX_PULLS_AT_ONCE = 3;
 
 /**
  * Creates the puller of one partner. Partners have separate pullers, so that a pull of one that is stuck never delays
@@ -113,11 +111,12 @@
 
     const underWay = createPullsUnderWay({
         clock,
-        ask: ({ source }, pullSignal) => {
+        options,
+        ask: ({ source }, pullSignal, onProgress) => {
             counters.pulls += 1;
             arrivals.noteQuestion(partner);
             const timeoutMs = source.kind === "Peer" ? options.longestMs : options.platformTimeoutMs;
-            return fetchVersion(partner, source, { clock, timeoutMs, signal: pullSignal });
+            return fetchVersion(partner, source, { clock, timeoutMs, signal: pullSignal, onProgress });
         },
         onDelivered: () => {
             failuresInARow = 0;
@@ -136,26 +135,21 @@
         signal,
     });
 
-    const startPatience = (): CancelTimer =>
-        underWay.size() < MAX_PULLS_AT_ONCE ?
-            startTimer(clock, signal, options.answerPatienceMs, pullNext) :
-            () => undefined;
-
     const pullNext = (): void => {
         state = { kind: "Idle" };
         book.settle(store.isWanted);
         underWay.giveUpUnless(store.isWanted);
-        const attempt = underWay.size() < MAX_PULLS_AT_ONCE ?
+        const attempt = underWay.hasPlace() ?
             choosePull({ claims: book.claims(), isAsked: underWay.isAsked, hasFailedLast, otherPeers, random }) :
             undefined;
         if (attempt !== undefined && !signal.aborted) {
             underWay.start(attempt);
         }
-        if (underWay.size() > 0) {
-            state = { kind: "Pulling", cancel: startPatience() };
+        if (underWay.isEmpty()) {
+            failuresInARow = 0;
             return;
         }
-        failuresInARow = 0;
+        state = { kind: "Pulling", cancel: underWay.hasPlace() ? underWay.startPatience(pullNext) : () => undefined };
     };
 
     const cancelTimer = (): void => {
