A node's own delay is not taken for a peer's silence or an unreachable target

What callers saw: requests sent far or refused, as good targets were avoided, and old versions for longer, at nodes that were short of processor time: a connection that had opened was destroyed (no connection within 250 ms), an answer that had arrived was thrown away.

Change: afterReading (oleandergap-utils, lateTimer.ts) starts such a limit; when it comes late, what has arrived is read first.

--- a/packages/oleandergap-distribution/src/boundedCall.ts
+++ b/packages/oleandergap-distribution/src/boundedCall.ts
@@ -3,6 +3,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import type { Clock, Milliseconds } from "oleandergap-types";
+import { afterReading } from "oleandergap-utils";
 
 /** Why a bounded call gave no result of its own. */
 export type CallFailure =
@@ -39,7 +40,7 @@
             controller.abort();
             finish(either.left({ kind: "TimedOut" }));
         };
-        const cancelTimer = clock.after(timeoutMs, giveUp);
+        const cancelTimer = afterReading(clock, timeoutMs, giveUp);
         signal.addEventListener("abort", giveUp, { once: true });
         if (signal.aborted) {
             giveUp();
--- a/packages/oleandergap-node/src/http/loopLag.ts
+++ b/packages/oleandergap-node/src/http/loopLag.ts
@@ -6,7 +6,7 @@
  * therefore reads what else has arrived before it hands a request on.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
-import { waitTurns } from "./waitTurns.js";
+import { waitTurns } from "oleandergap-utils";
 
 /** Distance of two looks while requests come. */
 const LOOK_INTERVAL_MS: Milliseconds = 50;
--- a/packages/oleandergap-node/src/http/progressWatch.ts
+++ b/packages/oleandergap-node/src/http/progressWatch.ts
@@ -1,6 +1,6 @@
 /** One timer that watches over an exchange: its deadline, and how long it has been silent. */
 import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
-import { waitTurns } from "./waitTurns.js";
+import { waitTurns } from "oleandergap-utils";
 
 export interface ProgressWatchOptions {
     readonly clock: Clock;
--- a/packages/oleandergap-node/src/http/socketEnd.ts
+++ b/packages/oleandergap-node/src/http/socketEnd.ts
@@ -8,6 +8,7 @@
  */
 import { Socket } from "node:net";
 import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
+import { afterReading } from "oleandergap-utils";
 import { buildConnector, errors } from "undici";
 
 /** `Reset`: with an error. `Finished`: the other side sent its end, as far as the runtime can tell. */
@@ -84,7 +85,7 @@
             callback(...result);
         });
         if (pending instanceof Socket) {
-            cancelTimer = clock.after(timeoutMs, () => {
+            cancelTimer = afterReading(clock, timeoutMs, () => {
                 pending.destroy(new errors.ConnectTimeoutError(`no connection within ${timeoutMs} ms`));
             });
         }
--- a/packages/oleandergap-utils/src/index.ts
+++ b/packages/oleandergap-utils/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./canonicalJson.js";
 export * from "./clock.js";
 export * from "./describeError.js";
+export * from "./lateTimer.js";
 export * from "./manualClock.js";
 export * from "./random.js";
 export * from "./rendezvousHash.js";
--- a/packages/oleandergap-utils/src/silenceWatch.ts
+++ b/packages/oleandergap-utils/src/silenceWatch.ts
@@ -4,7 +4,8 @@
  * be filled by answers that nobody reads; one would see nodes with narrow links stay behind. So only a silence ends it,
  * and a total far beyond the usual, for an answer that comes without an end.
  */
-import type { Clock, Milliseconds } from "oleandergap-types";
+import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
+import { afterReading } from "./lateTimer.js";
 
 /** Bounds on one answer. */
 export interface SilenceLimits {
@@ -41,9 +42,9 @@
         end();
         onPassed(limit);
     };
-    const startSilence = (): ReturnType<Clock["after"]> => clock.after(timeoutMs, () => pass("silence"));
+    const startSilence = (): CancelTimer => afterReading(clock, timeoutMs, () => pass("silence"));
     let cancelSilence = startSilence();
-    const cancelTotal = clock.after(longestMs, () => pass("total"));
+    const cancelTotal = afterReading(clock, longestMs, () => pass("total"));
     return {
         noteProgress: () => {
             if (!isOver) {
