The rest of an upload goes to one try alone

What callers saw: 200 for an upload of which the target holds a part, framed as whole.

Cause: a silent gate keeps its try open while the request is sent again, and both may be admitted late. Each took what it got of the same rest of a streaming body, and ended its own body properly.

Change: the rest can be taken once; the try that comes second breaks its body off, which no receiver takes for whole.

--- a/packages/oleandergap-node/src/http/requestBody.ts
+++ b/packages/oleandergap-node/src/http/requestBody.ts
@@ -21,7 +21,10 @@
     readonly prefix: Buffer;
     /** Size of the whole, when the caller told it. */
     readonly length: number | undefined;
-    /** What follows the beginning; can be taken once. Throws when the caller breaks off or sends too much. */
+    /**
+     * What follows the beginning. Throws when the caller breaks off or sends too much, and for whoever takes it second:
+     * two tries that shared it would each end a part of the body as if it were whole.
+     */
     readonly rest: () => AsyncIterable<Buffer>;
     /** Whether `rest` has been taken. */
     readonly isBegun: () => boolean;
@@ -74,6 +77,12 @@
     readonly maxBytes: number;
 }
 
+const takenBefore: AsyncIterable<Buffer> = {
+    [Symbol.asyncIterator]: () => ({
+        next: () => Promise.reject(new Error("another try of the request has taken the rest of its body")),
+    }),
+};
+
 const createStreamingBody = (prefix: Buffer, length: number | undefined, remainder: Remainder): StreamingBody => {
     let begun = false;
 
@@ -97,6 +106,9 @@
         prefix,
         length,
         rest: () => {
+            if (begun) {
+                return takenBefore;
+            }
             begun = true;
             return readRest();
         },
