--- a/packages/oleandergap-node/src/admin/gauges.ts
+++ b/packages/oleandergap-node/src/admin/gauges.ts
@@ -1,7 +1,7 @@
 /** The figures of a node's parts, read when somebody asks for the metrics. */
 import type { PeerAccess } from "../control/peerAccess.js";
 import type { ControlPlane } from "../createControlPlane.js";
-import type { RequestPath } from "../createRequestPath.js";
+import type { RequestPath } from "../requestPathTypes.js";
 import type { PlatformCounters } from "oleandergap-platform";
 import { readDatagramBytes, readDirections } from "./controlBytes.js";
 import type { GaugeReading, NodeMetrics } from "./metrics.js";
--- a/packages/oleandergap-node/src/control/nodeRoutes.ts
+++ b/packages/oleandergap-node/src/control/nodeRoutes.ts
@@ -7,7 +7,7 @@
 import type { Clock, ObjectStore, TableService } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { ControlPlane } from "../createControlPlane.js";
-import type { RequestPath } from "../createRequestPath.js";
+import type { RequestPath } from "../requestPathTypes.js";
 import type { NodeOptions } from "../options.js";
 import type { ControlRoute } from "./controlHandler.js";
 import type { PeerAccess } from "./peerAccess.js";
--- /dev/null
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -0,0 +1,131 @@
+/** Wires what happens to a request at the gateway: choice of a target, tries, hand-over to its gate. */
+import type { TargetMember } from "oleandergap-membership";
+import {
+    createOverloadThrottle,
+    createRequestRouter,
+    createStarvationThrottle,
+    createTargetPicker,
+    type RequestRouter,
+    type TargetPicker,
+} from "oleandergap-routing";
+import { findClosure } from "../admin/readiness.js";
+import { tallyEnd } from "../admin/tallyEnd.js";
+import type { GatePath } from "../gate/createGatePath.js";
+import type { UnservedCalls } from "../gate/unservedCalls.js";
+import type { CallerSignals } from "../http/callerSignal.js";
+import type { ConnectionPools } from "../http/connectionPools.js";
+import type { HandleArrival } from "../http/listener.js";
+import type { LoopLag } from "../http/loopLag.js";
+import type { RequestPathDependencies } from "../requestPathTypes.js";
+import { createCallerLookup } from "../target/ownService.js";
+import type { TargetKeeper } from "../target/targetKeeper.js";
+import { createCallerPatience } from "./callerPatience.js";
+import { createGatewayHandler } from "./gatewayHandler.js";
+import { createOwnerRouting } from "./ownerRouting.js";
+import { createRequestLog, type LogFailedRequest } from "./requestLog.js";
+import { createServiceChooser } from "./routeTable.js";
+import { createSendToGate, type SendToGate } from "./sendToGate.js";
+import { createSilenceLog } from "./silenceLog.js";
+import { createTargetLookup } from "./targetLookup.js";
+
+/** What the gateway shares with the gate. */
+export interface GatewayPathParts {
+    readonly pools: ConnectionPools;
+    readonly target: TargetKeeper;
+    readonly gate: GatePath;
+    readonly callerSignals: CallerSignals;
+    readonly catchUp: LoopLag["catchUp"];
+    readonly noteUnserved: UnservedCalls["note"];
+}
+
+const createLog = ({ options, clock, createPartLogger }: RequestPathDependencies): LogFailedRequest =>
+    createRequestLog({
+        clock,
+        logger: createPartLogger("request"),
+        linesPerSecond: options.logs.requestLinesPerSecond,
+    });
+
+const createRouter = (
+    { options, clock, random }: RequestPathDependencies,
+    picker: TargetPicker<TargetMember>,
+): RequestRouter<TargetMember> => createRequestRouter({
+    clock,
+    picker,
+    options: options.routing.retry,
+    throttle: options.routing.refusals.overload ? createOverloadThrottle(clock, random) : undefined,
+    starvation: options.routing.refusals.starvation ? createStarvationThrottle(clock, random) : undefined,
+});
+
+const createPicker = (
+    { options, clock, random }: RequestPathDependencies,
+): TargetPicker<TargetMember> => createTargetPicker<TargetMember>({
+    ownNode: options.nodeId,
+    ownZone: options.zone,
+    clock,
+    random,
+    options: options.routing.picker,
+});
+
+/** Hands requests to gates; each try has an id of its own. */
+const createSend = (
+    { options: { nodeId, requests }, bootId, clock, createPartLogger }: RequestPathDependencies,
+    { pools, gate }: GatewayPathParts,
+): SendToGate => {
+    let attempts = 0;
+    return createSendToGate({
+        clock,
+        pools,
+        ownNodeId: nodeId,
+        serveLocally: gate.serve,
+        localLoad: gate.load,
+        nextAttemptId: () => {
+            attempts++;
+            return `${nodeId}-${bootId}-${attempts}`;
+        },
+        connectionsPerNode: requests.connectionsPerNode,
+        gateSilenceMs: requests.gateSilenceMs,
+        bodySilenceMs: requests.bodySilenceMs,
+        logSilence: createSilenceLog(clock, createPartLogger("gateway")),
+    });
+};
+
+/** Creates the handler of callers' requests. */
+export const createGatewayPath = (dependencies: RequestPathDependencies, parts: GatewayPathParts): HandleArrival => {
+    const { options, clock, random, createPartLogger, metrics } = dependencies;
+    const { requests } = options;
+    return createGatewayHandler({
+        clock,
+        logger: createPartLogger("gateway"),
+        dialect: dependencies.dialects.caller,
+        callerSignals: parts.callerSignals,
+        chooseService: createServiceChooser(random),
+        estimateWaited: createCallerPatience(),
+        view: dependencies.view,
+        findTargets: createTargetLookup({
+            clock,
+            directory: dependencies.directory,
+            firstLookupMs: requests.firstLookupMs,
+        }),
+        router: createRouter(dependencies, createPicker(dependencies)),
+        findOwnerRouter: options.keyOwnership.enabled ?
+            createOwnerRouting({ clock, partitions: options.keyOwnership.partitions }) :
+            () => undefined,
+        send: createSend(dependencies, parts),
+        catchUp: parts.catchUp,
+        closed: (callingService) =>
+            findClosure(
+                dependencies.readiness,
+                callingService !== undefined && dependencies.callerService === undefined,
+                options.stop.lingerMs,
+                random,
+            ),
+        callerAt: createCallerLookup(dependencies, parts.target),
+        maxBodyBytes: requests.maxBodyBytes,
+        noteUnserved: parts.noteUnserved,
+        countRequest: (end, duration, kind) => {
+            metrics.countRequest("gateway", end, duration);
+            tallyEnd(parts.gate.tally, "gateway", kind, end, duration);
+        },
+        logFailure: createLog(dependencies),
+    });
+};
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -15,7 +15,7 @@
 import type { Clock } from "oleandergap-types";
 import type { ReadinessState } from "./admin/readiness.js";
 import type { ControlPlane } from "./createControlPlane.js";
-import type { RequestPath } from "./createRequestPath.js";
+import type { RequestPath } from "./requestPathTypes.js";
 import type { ListenError } from "./http/listener.js";
 import type { ListenerPlan } from "./adapters.js";
 import { destroyListeners, startNodeListeners, type NodeHandlers, type NodeListeners } from "./listeners.js";
