--- a/packages/oleandergap-idempotency/src/measure/freezableClock.ts
+++ b/packages/oleandergap-idempotency/src/measure/freezableClock.ts
@@ -1,5 +1,6 @@
 /** A process's own view of a shared clock: while it is frozen, none of its timers run; on resuming, all overdue do. */
 import type { Clock, Milliseconds } from "oleandergap-types";
+import { createSleep } from "oleandergap-utils";
 
 export interface FreezableClock extends Clock {
     readonly freeze: () => void;
@@ -31,25 +32,11 @@
         };
     };
 
-    const sleep: Clock["sleep"] = (delay, signal) => new Promise((resolve) => {
-        if (signal.aborted) {
-            resolve();
-            return;
-        }
-        const finish = (): void => {
-            cancel();
-            signal.removeEventListener("abort", finish);
-            resolve();
-        };
-        const cancel = after(delay, finish);
-        signal.addEventListener("abort", finish, { once: true });
-    });
-
     return {
         now: () => base.now() + wallOffset,
         monotonic: base.monotonic,
         after,
-        sleep,
+        sleep: createSleep(after),
         freeze: () => {
             frozen = true;
         },
