Types: one isConditionMet for both tables in memory

What a condition on a row means stood in the stand-in of the table service and in the measurements' table alike; it now stands beside the condition itself.

--- a/packages/oleandergap-idempotency/src/measure/memoryTable.ts
+++ b/packages/oleandergap-idempotency/src/measure/memoryTable.ts
@@ -4,16 +4,16 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type {
-    Clock,
-    Milliseconds,
-    PlatformError,
-    RowCondition,
-    TableOperation,
-    TableRow,
-    TableScan,
-    TableService,
-    TransactionResult,
+import {
+    isConditionMet,
+    type Clock,
+    type Milliseconds,
+    type PlatformError,
+    type TableOperation,
+    type TableRow,
+    type TableScan,
+    type TableService,
+    type TransactionResult,
 } from "oleandergap-types";
 
 /** What happens to one call. */
@@ -46,17 +46,6 @@
 const LOST: PlatformError = { kind: "OutcomeUnknown", detail: "the answer was lost" };
 const DOWN: PlatformError = { kind: "Unavailable", detail: "the platform is down" };
 
-const holds = (condition: RowCondition, row: TableRow | undefined): boolean => {
-    switch (condition.kind) {
-        case "Any":
-            return true;
-        case "Absent":
-            return row === undefined;
-        case "VersionIs":
-            return row?.version === condition.version;
-    }
-};
-
 const compareKeys = (left: TableRow, right: TableRow): number => left.key < right.key ? -1 : 1;
 
 /** `serverClock` is the platform's own time. */
@@ -77,7 +66,7 @@
     };
 
     const commit = (operations: readonly TableOperation[]): TransactionResult => {
-        const failed = operations.filter(({ key, condition }) => !holds(condition, rows.get(key)));
+        const failed = operations.filter(({ key, condition }) => !isConditionMet(condition, rows.get(key)));
         if (failed.length > 0) {
             return { kind: "ConditionFailed", keys: failed.map(({ key }) => key) };
         }
--- a/packages/oleandergap-platform/src/tableState.ts
+++ b/packages/oleandergap-platform/src/tableState.ts
@@ -6,7 +6,13 @@
  * condition taken from the deleted row could hold for the new one (the ABA problem): one would see a delayed write
  * replace a row that its sender never read.
  */
-import type { RowCondition, TableOperation, TableRow, TableScan, TransactionResult } from "oleandergap-types";
+import {
+    isConditionMet,
+    type TableOperation,
+    type TableRow,
+    type TableScan,
+    type TransactionResult,
+} from "oleandergap-types";
 
 /** Rows by key; every call is complete when it returns. */
 export interface TableState {
@@ -33,17 +39,6 @@
     return low;
 };
 
-const isConditionMet = (condition: RowCondition, row: TableRow | undefined): boolean => {
-    switch (condition.kind) {
-        case "Any":
-            return true;
-        case "Absent":
-            return row === undefined;
-        case "VersionIs":
-            return row?.version === condition.version;
-    }
-};
-
 /** Follows every key with this prefix and precedes every other that is larger. */
 const endOfPrefix = (prefix: string): string => `${prefix}\u{10ffff}`;
 
--- a/packages/oleandergap-types/src/platform.ts
+++ b/packages/oleandergap-types/src/platform.ts
@@ -32,6 +32,18 @@
     | { readonly kind: "Absent" }
     | { readonly kind: "VersionIs"; readonly version: number };
 
+/** Whether a condition holds for a row as it is; undefined when there is none. */
+export const isConditionMet = (condition: RowCondition, row: Pick<TableRow, "version"> | undefined): boolean => {
+    switch (condition.kind) {
+        case "Any":
+            return true;
+        case "Absent":
+            return row === undefined;
+        case "VersionIs":
+            return row?.version === condition.version;
+    }
+};
+
 /** One step of a transaction. All conditions hold and all steps take effect, or none. */
 export type TableOperation =
     | { readonly kind: "Check"; readonly key: string; readonly condition: RowCondition }
