--- a/packages/oleandergap-idempotency/src/measure/claimCost.ts
+++ b/packages/oleandergap-idempotency/src/measure/claimCost.ts
@@ -1,11 +1,12 @@
 /** What a claim costs: transactions, row writes and reads on the platform, and processor time of the node. */
 import { setMaxListeners } from "node:events";
 import type { Logger } from "oleandergap-logger";
-import { createManualClock, createSeededRandom, createSystemClock } from "oleandergap-utils";
-import { createClaimKeeper, type ClaimKeeper } from "../claim/claimKeeper.js";
+import type { Clock } from "oleandergap-types";
+import { createManualClock, createSeededRandom, createSystemClock, type Random } from "oleandergap-utils";
+import { createClaimKeeper, type ClaimKeeper, type ClaimKeeperDependencies } from "../claim/claimKeeper.js";
 import { claimOptionsSchema, ownershipOptionsSchema } from "../options.js";
 import { createPartitionOwnership } from "../ownership/partitionOwnership.js";
-import { createMemoryTable } from "./memoryTable.js";
+import { createMemoryTable, type MemoryTable } from "./memoryTable.js";
 import { mintKey } from "./mintKey.js";
 import { SIMULATED_SERVICE } from "./simulatedNode.js";
 
@@ -37,26 +38,35 @@
     }
 };
 
+/** What one measurement works with. */
+interface Surroundings {
+    /** Ends what runs in the background. */
+    readonly controller: AbortController;
+    readonly random: Random;
+    readonly table: MemoryTable;
+    readonly dependencies: Omit<ClaimKeeperDependencies, "options">;
+}
+
+/** A table in memory that answers at once, and what the claims of one node work with beside their options. */
+const createSurroundings = (clock: Clock): Surroundings => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    setMaxListeners(0, signal);
+    const random = createSeededRandom(1);
+    const table = createMemoryTable(clock);
+    const tableService = table.connect(clock, () => ({ kind: "Answered", delayMs: 0 }));
+    const dependencies = { tableService, clock, random, nodeId: "node-0", bootId: "0", logger: silentLogger, signal };
+    return { controller, random, table, dependencies };
+};
+
 /**
  * `concurrent` requests arrive together, `rounds` times, in real time. The processor time includes that of the table
  * in memory.
  */
 export const measureDurableCost = async (concurrent: number, rounds: number): Promise<CostFigures> => {
-    const controller = new AbortController();
-    setMaxListeners(0, controller.signal);
-    const clock = createSystemClock();
-    const random = createSeededRandom(1);
-    const table = createMemoryTable(clock);
-    const keeper = createClaimKeeper({
-        tableService: table.connect(clock, () => ({ kind: "Answered", delayMs: 0 })),
-        clock,
-        random,
-        nodeId: "node-0",
-        bootId: "0",
-        logger: silentLogger,
-        options: claimOptionsSchema.parse({ batchWindowMs: 1 }),
-        signal: controller.signal,
-    });
+    const { controller, random, table, dependencies } = createSurroundings(createSystemClock());
+    const options = claimOptionsSchema.parse({ batchWindowMs: 1 });
+    const keeper = createClaimKeeper({ ...dependencies, options });
     // The clock's timers do not keep a process alive by themselves.
     const keepAlive = setInterval(drop, KEEP_ALIVE_PERIOD);
     const before = readProcessorTime();
@@ -80,21 +90,12 @@
 
 /** The same for keys that are accepted from memory and recorded behind; `roundMs` apart, with time moved by hand. */
 export const measureOwnedCost = async (concurrent: number, rounds: number, roundMs: number): Promise<CostFigures> => {
-    const controller = new AbortController();
-    setMaxListeners(0, controller.signal);
     const clock = createManualClock();
-    const random = createSeededRandom(1);
-    const table = createMemoryTable(clock);
+    const { controller, random, table, dependencies } = createSurroundings(clock);
     const ownership = createPartitionOwnership({
-        tableService: table.connect(clock, () => ({ kind: "Answered", delayMs: 0 })),
-        clock,
-        random,
-        nodeId: "node-0",
-        bootId: "0",
-        logger: silentLogger,
+        ...dependencies,
         claimOptions: claimOptionsSchema.parse({}),
         options: ownershipOptionsSchema.parse({ enabled: true, partitions: 8, maxKeys: 1_000_000 }),
-        signal: controller.signal,
         services: () => [SIMULATED_SERVICE],
         members: () => ["node-0"],
         isMember: () => true,
