Node: a step of the stop that fails does not keep what runs from its end

What callers would see: all requests under way cut without an answer, and a process that ends with an error. Found by reading, not seen in a run of the fleet. Cause: if telling the other nodes or handing keys over rejects, the whole stop rejected: nothing was drained or given up. Change: such a step is logged as an error, and the stop goes on. Test, failing before: nodeLifecycle.test.ts 'lets what runs finish although other nodes cannot be told' ('expected false to equal true': the stop never resolved).

--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -150,6 +150,20 @@
         expect(harness.isStopped()).to.equal(true);
     });
 
+    it("lets what runs finish although other nodes cannot be told", async () => {
+        const harness = await startNode({
+            leaveMembership: () => Promise.reject(new Error("no socket")),
+            leaveClaims: () => Promise.reject(new Error("no store")),
+        });
+        const answer = await startCall(harness);
+        harness.stop();
+        await harness.clock.advance(STOP.serveLongestMs);
+        harness.open.splice(0).forEach((response) => response.writeHead(200).end());
+        expect((await answer()).statusCode).to.equal(200);
+        await harness.clock.advance(END_MS);
+        expect(harness.isStopped()).to.equal(true);
+    });
+
     it("leaves no caller without an answer when the process is behind with its final answers", async () => {
         const harness = await startNode({ stopTarget: never }, true, 350);
         const answer = await startCall(harness);
--- a/packages/oleandergap-node/src/stopNode.ts
+++ b/packages/oleandergap-node/src/stopNode.ts
@@ -24,12 +24,23 @@
 const waitForGate = ({ requestPath }: LifecycleDependencies, signal: AbortSignal): Promise<void> =>
     raceAbort(requestPath.target.stop(), signal, () => undefined);
 
+/** A step that fails does not keep the later ones from what is still in flight. */
+const attempt = (
+    { logger }: Pick<LifecycleDependencies, "logger">,
+    name: string,
+    step: () => Promise<void>,
+): Promise<void> =>
+    step().catch((error: unknown) => logger.error(`${name} failed.`, { detail: describeError(error) }));
+
+const tellOtherNodes = (dependencies: LifecycleDependencies): Promise<void> =>
+    attempt(dependencies, "Telling other nodes of the stop", dependencies.controlPlane.membership.leave);
+
 /** Serves on until callers and other nodes have turned elsewhere. */
 const serveOn = (dependencies: LifecycleDependencies, signal: AbortSignal): Promise<void> => {
-    const { options, clock, readiness, controlPlane, requestPath } = dependencies;
+    const { options, clock, readiness, requestPath } = dependencies;
     return runStopStages(clock, options.stop, {
         hasSubstitute: requestPath.hasSubstitute,
-        closeGate: () => Promise.all([controlPlane.membership.leave(), waitForGate(dependencies, signal)]),
+        closeGate: () => Promise.all([tellOtherNodes(dependencies), waitForGate(dependencies, signal)]),
         refuseCallers: () => {
             readiness.refusing = true;
         },
@@ -38,11 +49,9 @@
 };
 
 /** A node that has never been ready has refused everybody, so nobody has to be sent elsewhere. */
-const leaveUnserved = async (
-    { options, clock, controlPlane }: LifecycleDependencies,
-    signal: AbortSignal,
-): Promise<void> => {
-    await Promise.all([controlPlane.membership.leave(), clock.sleep(options.stop.lingerMs, signal)]);
+const leaveUnserved = async (dependencies: LifecycleDependencies, signal: AbortSignal): Promise<void> => {
+    const { options, clock } = dependencies;
+    await Promise.all([tellOtherNodes(dependencies), clock.sleep(options.stop.lingerMs, signal)]);
 };
 
 /** Resolves when nothing is left in flight. */
@@ -54,8 +63,8 @@
     const { readiness, requestPath } = dependencies;
     await (readiness.recovered ? serveOn : leaveUnserved)(dependencies, signal);
     await Promise.all([listeners.gateway.drain(0, signal), listeners.gate.drain(0, signal)]);
-    await requestPath.claims.leave(signal);
-    await requestPath.claims.drain(signal);
+    await attempt(dependencies, "Handing keys over", () => requestPath.claims.leave(signal));
+    await attempt(dependencies, "Recording outcomes", () => requestPath.claims.drain(signal));
 };
 
 /** Cut off without a word, a caller could not tell whether its request ran, nor when to come back. */
@@ -71,15 +80,11 @@
     late.cancel();
 };
 
-const closeConnections = async (
-    { clock, logger, controlPlane, requestPath, signal }: LifecycleDependencies,
-    listeners: NodeListeners,
-): Promise<void> => {
+const closeConnections = async (dependencies: LifecycleDependencies, listeners: NodeListeners): Promise<void> => {
+    const { clock, controlPlane, requestPath, signal } = dependencies;
     destroyListeners(listeners);
     controlPlane.peers.close();
-    const closed = requestPath.pools.destroy().catch((error: unknown) => {
-        logger.warn("Closing connections failed.", { detail: describeError(error) });
-    });
+    const closed = attempt(dependencies, "Closing connections", requestPath.pools.destroy);
     await Promise.race([closed, clock.sleep(CLOSE_MS, signal)]);
 };
 
