Idempotency: handing keys over keeps to its limit while the platform hangs

Cause: leave promised to resolve when its signal aborts, and waited for the calls of its round first, each up to the time limit of a call, several in a row. Change: the round is left behind when the limit comes; its calls end by their own limits. Test, failing before: partitionOwnership.test.ts 'does not hold up a stopping process while the platform hangs' ('expected false to equal true').

--- a/packages/oleandergap-idempotency/src/__tests__/partitionOwnership.test.ts
+++ b/packages/oleandergap-idempotency/src/__tests__/partitionOwnership.test.ts
@@ -147,4 +147,17 @@
         await harness.clock.advance(LEASE);
         expectAccepted(second.decide(harness.mint()));
     });
+
+    it("does not hold up a stopping process while the platform hangs", async () => {
+        const limit = new AbortController();
+        first.weather = { kind: "Hangs", givenUpMs: LEASE };
+        let hasLeft = false;
+        void first.ownership.leave(limit.signal).then(() => {
+            hasLeft = true;
+        });
+        await harness.clock.advance(1000);
+        limit.abort();
+        await harness.clock.advance(0);
+        expect(hasLeft).to.equal(true);
+    });
 });
--- a/packages/oleandergap-idempotency/src/ownership/partitionOwnership.ts
+++ b/packages/oleandergap-idempotency/src/ownership/partitionOwnership.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, NodeId, ServiceReference, TableService } from "oleandergap-types";
 import type { Logger } from "oleandergap-logger";
-import type { Random } from "oleandergap-utils";
+import { raceAbort, type Random } from "oleandergap-utils";
 import { createBatchReader } from "../claim/batchReader.js";
 import { createBatchWriter } from "../claim/batchWriter.js";
 import { createPlatformPause } from "../claim/platformPause.js";
@@ -152,7 +152,8 @@
     const leave = async (limit: AbortSignal): Promise<void> => {
         isLeaving = true;
         while (!limit.aborted && !signal.aborted && [...holdings.values()].some((holding) => !holding.isIdle())) {
-            await tick();
+            // A call to a platform that is silent would outlast the limit.
+            await raceAbort(tick(), limit, () => undefined);
             await clock.sleep(Math.min(options.tickMs, MAX_LEAVING_TICK), limit);
         }
     };
