--- a/packages/oleandergap-utils/src/clock.ts
+++ b/packages/oleandergap-utils/src/clock.ts
@@ -1,6 +1,7 @@
 /** The clock of a running process. */
 import { performance } from "node:perf_hooks";
 import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
+import { createSleep } from "./sleep.js";
 
 const startTimer = (delay: Milliseconds, callback: () => void): CancelTimer => {
     const timer = setTimeout(callback, delay);
@@ -10,25 +11,18 @@
     };
 };
 
-const sleep = (delay: Milliseconds, signal: AbortSignal): Promise<void> =>
-    new Promise((resolve) => {
-        if (signal.aborted) {
-            resolve();
-            return;
-        }
-        const finish = (): void => {
-            clearTimeout(timer);
-            signal.removeEventListener("abort", finish);
-            resolve();
-        };
-        const timer = setTimeout(finish, delay);
-        signal.addEventListener("abort", finish, { once: true });
-    });
+/** Unlike the timers of `after`, those of a sleep keep the process alive. */
+const startKeptTimer = (delay: Milliseconds, callback: () => void): CancelTimer => {
+    const timer = setTimeout(callback, delay);
+    return () => {
+        clearTimeout(timer);
+    };
+};
 
 /** A clock backed by the operating system. */
 export const createSystemClock = (): Clock => ({
     now: () => Date.now(),
     monotonic: () => performance.now(),
     after: startTimer,
-    sleep,
+    sleep: createSleep(startKeptTimer),
 });
