--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -33,6 +33,7 @@
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
 import { formatLoad } from "../http/loadHeader.js";
 import { describeFailure, HTTP_STATUS, statusOfFailure } from "../http/refusal.js";
+import { createRememberedParser } from "../http/rememberedParser.js";
 import { receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
 import { parseTimeout } from "../http/timeoutHeader.js";
 import { writeAnswer, writeFailure } from "../http/writeAnswer.js";
@@ -53,30 +54,18 @@
 
 const badRequest = (detail: string): RequestFailure => ({ kind: "BadRequest", verdict: "notRun", detail });
 
-/** Services whose names are remembered; a sender of ever new names must not fill the memory. */
-const MAX_REMEMBERED_SERVICES = 1024;
-const rememberedServices = new Map<string, ServiceReference>();
-
 const checkService = (text: string): ServiceReference | undefined => {
     const [partner, service, ...rest] = text.split("/");
     const parsed = serviceReferenceSchema.safeParse({ partner, service });
     return parsed.success && rest.length === 0 ? parsed.data : undefined;
 };
 
-/** Reads `partner/service`. */
-const parseService = (text: string | undefined): ServiceReference | undefined => {
-    if (text === undefined) {
-        return undefined;
-    }
-    const remembered = rememberedServices.get(text);
-    if (remembered !== undefined) {
-        return remembered;
-    }
-    const service = checkService(text);
-    if (service !== undefined && rememberedServices.size < MAX_REMEMBERED_SERVICES) {
-        rememberedServices.set(text, service);
-    }
-    return service;
+const parseService = createRememberedParser(checkService);
+
+/** Reads a header that holds `partner/service`. */
+const readService = (request: IncomingMessage, header: string): ServiceReference | undefined => {
+    const text = readRequestHeader(request, header);
+    return text === undefined ? undefined : parseService(text);
 };
 
 /** Only the gateway knows the route; without its word the method decides. */
@@ -107,7 +96,7 @@
     usualTimeoutMs: Milliseconds,
     receivedAt: Milliseconds,
 ): Either<RequestFailure, GateHead> => {
-    const service = parseService(readRequestHeader(request, SERVICE_HEADER));
+    const service = readService(request, SERVICE_HEADER);
     const requestId = readRequestHeader(request, REQUEST_ID_HEADER);
     if (service === undefined || requestId === undefined) {
         return either.left(badRequest(`${SERVICE_HEADER} and ${REQUEST_ID_HEADER} are needed`));
@@ -119,7 +108,7 @@
     const method = request.method ?? "";
     return either.right({
         service,
-        caller: parseService(readRequestHeader(request, CALLER_HEADER)) ?? service,
+        caller: readService(request, CALLER_HEADER) ?? service,
         method,
         path: request.url ?? "/",
         headers: selectRequestHeaders(request),
--- a/packages/oleandergap-node/src/gateway/callerRequest.ts
+++ b/packages/oleandergap-node/src/gateway/callerRequest.ts
@@ -16,6 +16,7 @@
 import type { CallerDialect } from "../http/dialect.js";
 import { countHeader, selectRequestHeaders } from "../http/headers.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
+import { createRememberedParser } from "../http/rememberedParser.js";
 import type { EstimateWaited } from "./callerPatience.js";
 import { findRoute, type ChooseService } from "./routeTable.js";
 
@@ -54,10 +55,6 @@
     retryAfterMs: 1000,
 };
 
-/** Hosts whose meaning is remembered; a sender of ever new hosts must not fill the memory. */
-const MAX_REMEMBERED_HOSTS = 1024;
-const rememberedHosts = new Map<string, ServiceReference>();
-
 const readHost = (host: string): ServiceReference | undefined => {
     const match = host.length <= MAX_HOST_LENGTH ? HOST_PATTERN.exec(host.toLowerCase()) : null;
     const service = match?.[1];
@@ -66,17 +63,7 @@
 };
 
 /** Reads `service.partner` with an optional port. */
-export const parseHost = (host: string): ServiceReference | undefined => {
-    const remembered = rememberedHosts.get(host);
-    if (remembered !== undefined) {
-        return remembered;
-    }
-    const service = readHost(host);
-    if (service !== undefined && rememberedHosts.size < MAX_REMEMBERED_HOSTS) {
-        rememberedHosts.set(host, service);
-    }
-    return service;
-};
+export const parseHost = createRememberedParser(readHost);
 
 /** Rank of a request that no route names. */
 const USUAL_PRIORITY = 0;
