Positions in the store are an era and a version; a restored store passes over no change

What callers saw: after a restore of the store, a node stayed at the version before and answered 404 on routes confirmed since. Cause: a feed went on from a version alone. Where the restored store had given that version out again, the feed answered with what came after it, and the changes up to it were never read. Change: the store's header for its era is read from each answer and followed by one watch for all connections. A feed whose position is of another era than its answer counts as one whose history is lost. An answer of an era that is over, or whose era cannot be read, counts as lost: no news, one log line, figures storeRestores and answersOutOfEra. Evidence: storeRestore.test.ts on the code before: 4 of its 6 first tests failed (version given out again, restore while a feed waits, late answer of an earlier era, two restores); 410 and the version that never goes back passed before. Now the tests of platform and oleandergap-platform pass, 83. Why it works: versions are compared only within an era, and no answer moves a reader across the border of one.

--- a/packages/oleandergap-platform/src/classifyExchange.ts
+++ b/packages/oleandergap-platform/src/classifyExchange.ts
@@ -2,7 +2,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
 import type { PlatformError } from "oleandergap-types";
-import type { ExchangeResult } from "./exchange.js";
+import type { AnswerHeaders, ExchangeResult } from "./exchange.js";
 
 /** A write may change something at the platform; a read, scan, get or list never does. */
 export type CallKind = "Read" | "Write";
@@ -10,6 +10,7 @@
 /** An answer that arrived whole, with one of the statuses of a success. */
 export interface PlatformAnswer {
     readonly status: number;
+    readonly headers: AnswerHeaders;
     readonly body: Buffer;
 }
 
@@ -53,7 +54,7 @@
             break;
     }
     if (SUCCESS_STATUSES.has(result.status)) {
-        return either.right({ status: result.status, body: result.body });
+        return either.right({ status: result.status, headers: result.headers, body: result.body });
     }
     const detail = `the platform answered with status ${result.status}`;
     return either.left(isRefusal(result.status) ? { kind: "Unavailable", detail } : toMissingAnswer(kind, detail));
--- a/packages/oleandergap-platform/src/exchange.ts
+++ b/packages/oleandergap-platform/src/exchange.ts
@@ -16,9 +16,17 @@
     readonly body?: string | Uint8Array;
 }
 
+/** By lower-case name; a header that is sent more than once has several texts. */
+export type AnswerHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
+
 /** How an exchange ended, as far as this process can tell. */
 export type ExchangeResult =
-    | { readonly kind: "Answered"; readonly status: number; readonly body: Buffer }
+    | {
+        readonly kind: "Answered";
+        readonly status: number;
+        readonly headers: AnswerHeaders;
+        readonly body: Buffer;
+    }
     /** No byte of the request has left, and none will. */
     | { readonly kind: "NotSent"; readonly detail: string }
     /** The request may have arrived. `isSilent` when time ran out while the connection gave no error. */
@@ -76,8 +84,9 @@
 /** Collects the answer. */
 const createHandler = (exchange: RunningExchange, maximumAnswerBytes: number): Dispatcher.DispatchHandler => {
     const chunks: Buffer[] = [];
-    let received = 0;
+    let receivedBytes = 0;
     let status = 0;
+    let headers: AnswerHeaders = {};
     return {
         onRequestStart: (controller) => {
             if (exchange.isEnded) {
@@ -86,24 +95,25 @@
             }
             exchange.controller = controller;
         },
-        onResponseStart: (_controller, statusCode, headers) => {
+        onResponseStart: (_controller, statusCode, received) => {
             exchange.noteProgress();
             status = statusCode;
-            if (status === STATUS_OK && !hasKnownEnd(headers)) {
+            headers = received;
+            if (status === STATUS_OK && !hasKnownEnd(received)) {
                 giveUp(exchange, "the answer does not say where it ends");
             }
         },
         onResponseData: (_controller, chunk) => {
             exchange.noteProgress();
-            received += chunk.length;
-            if (received > maximumAnswerBytes) {
+            receivedBytes += chunk.length;
+            if (receivedBytes > maximumAnswerBytes) {
                 giveUp(exchange, `the answer is longer than ${maximumAnswerBytes} bytes`);
                 return;
             }
             chunks.push(chunk);
         },
         onResponseEnd: () => {
-            exchange.end({ kind: "Answered", status, body: Buffer.concat(chunks) });
+            exchange.end({ kind: "Answered", status, headers, body: Buffer.concat(chunks) });
         },
         onResponseError: (_controller, error) => {
             giveUp(exchange, describeError(error));
--- a/packages/oleandergap-platform/src/index.ts
+++ b/packages/oleandergap-platform/src/index.ts
@@ -1,5 +1,6 @@
 /** Adapters to the platform's table service and object store, their wire schemas, and a platform in memory. */
 export { createChannel, type Channel, type ChannelOptions } from "./channel.js";
+export * from "./eraWatch.js";
 export type { CallKind, PlatformAnswer } from "./classifyExchange.js";
 export { parseJson, type ParsedJson } from "./parseJson.js";
 export * from "./memoryPlatform.js";
--- a/packages/oleandergap-types/src/index.ts
+++ b/packages/oleandergap-types/src/index.ts
@@ -4,5 +4,6 @@
 export * from "./member.js";
 export * from "./names.js";
 export * from "./platform.js";
+export * from "./storePosition.js";
 export * from "./table.js";
 export * from "./verdict.js";
