Rosters are written again by whoever hears that the store was restored

What callers saw: new nodes without seeds found nobody for up to 40 s after a restore of the store. Cause: the two writers of a zone's roster by rank look at it every 20 to 40 s and make no other call, so that they do not hear of a restore. Ruled out: more looks by the writers, each of which is a call to the store in all the time without a restore. Change: the object store tells the newest era seen; a node that hears of a new one looks within half a second, drawn, and writes what is missing, whatever its rank. A look that failed is made again. With 60 nodes in three zones, at most two calls for each node that reads the store. Why it works: the nodes that follow the store hear of the restore by their feeds, and any node of a zone can compose its roster.

--- a/packages/oleandergap-membership/src/__tests__/roster.test.ts
+++ b/packages/oleandergap-membership/src/__tests__/roster.test.ts
@@ -4,7 +4,7 @@
 import { formatRosterKey, type FetchContacts } from "../index.js";
 import { composeRoster } from "../roster.js";
 import { perfectLink } from "../testing/index.js";
-import { createTestWorld, idsOf, knownIds, type TestNode } from "./testZone.js";
+import { createTestWorld, idsOf, knownIds, seedOfIndex, type TestNode, type TestWorld } from "./testZone.js";
 
 interface RosterStore {
     readonly store: ObjectStore;
@@ -63,6 +63,140 @@
     });
 });
 
+type RosterCopy = ReadonlyMap<string, Uint8Array>;
+
+/** A store that is restored from copies, and the era that each node has seen in its answers. */
+interface RestoredStore {
+    readonly roster: RosterStore;
+    /** `readNews` tells whether the node has heard of the present era by another call. */
+    readonly openAt: (now: () => number, readNews: () => boolean) => ObjectStore;
+    /** When calls were made since the last restore. */
+    readonly callTimes: () => readonly number[];
+    readonly restore: (copy: RosterCopy) => void;
+}
+
+const createRestoredStore = (): RestoredStore => {
+    const roster = createRosterStore();
+    let era = 1;
+    let callTimes: number[] = [];
+    const openAt: RestoredStore["openAt"] = (now, readNews) => {
+        let seen = era;
+        const noteCall = (): void => {
+            seen = era;
+            callTimes.push(now());
+        };
+        return {
+            get: (key, signal) => {
+                noteCall();
+                return roster.store.get(key, signal);
+            },
+            put: (key, body, signal) => {
+                noteCall();
+                return roster.store.put(key, body, signal);
+            },
+            list: roster.store.list,
+            era: () => {
+                seen = readNews() ? era : seen;
+                return seen;
+            },
+        };
+    };
+    return {
+        roster,
+        openAt,
+        callTimes: () => callTimes,
+        restore: (copy) => {
+            roster.objects.clear();
+            copy.forEach((body, key) => roster.objects.set(key, body));
+            era += 1;
+            callTimes = [];
+        },
+    };
+};
+
+const mostWithin = (times: readonly number[], spanMs: number): number =>
+    Math.max(0, ...times.map((start) => times.filter((time) => time >= start && time < start + spanMs).length));
+
+describe("createRosterKeeper after a restore of the store", () => {
+    const ZONES = ["zone-a", "zone-b", "zone-c"];
+    const READERS_PER_ZONE = 4;
+    /** When a node that follows the store hears of the restore: its feed was under way for up to this long. */
+    const FEED_MS = 1000;
+
+    interface RosterFleet {
+        readonly world: TestWorld;
+        readonly store: RestoredStore;
+        readonly restore: (copy: RosterCopy) => void;
+    }
+
+    const startFleet = async (size: number): Promise<RosterFleet> => {
+        const world = createTestWorld(11);
+        const store = createRestoredStore();
+        let restoredAt = Number.POSITIVE_INFINITY;
+        const start = (index: number): TestNode => {
+            const zone = ZONES[index % ZONES.length] ?? "";
+            const rank = Math.floor(index / ZONES.length);
+            const hearsAfter = FEED_MS * (rank + 1) / READERS_PER_ZONE;
+            const readNews = (): boolean =>
+                rank < READERS_PER_ZONE && world.clock.monotonic() >= restoredAt + hearsAfter;
+            return world.startNode(index, {
+                zone,
+                seeds: ZONES.map((name, first) => seedOfIndex(first, name)),
+                objectStore: store.openAt(() => world.clock.monotonic(), readNews),
+                options: { rosterPeriodMs: 1000 },
+            });
+        };
+        Array.from({ length: size }, (_, index) => start(index));
+        await world.clock.advance(20_000);
+        const restore = (copy: RosterCopy): void => {
+            store.restore(copy);
+            restoredAt = world.clock.monotonic();
+        };
+        return { world, store, restore };
+    };
+
+    it("holds all living nodes again within two seconds, by few calls that do not come at once", async () => {
+        const { world, store, restore } = await startFleet(60);
+        const whole = new Map(store.roster.objects);
+        expect(whole.size).to.equal(ZONES.length);
+        restore(new Map());
+        await world.clock.advance(2000);
+        expect(store.roster.objects).to.deep.equal(whole);
+        expect(store.callTimes().length).to.be.at.most(2 * READERS_PER_ZONE * ZONES.length);
+        expect(mostWithin(store.callTimes(), 100)).to.be.at.most(READERS_PER_ZONE * ZONES.length);
+    });
+
+    it("is written again by a node that is no writer by rank, and after a second restore as well", async () => {
+        const { world, store, restore } = await startFleet(60);
+        const whole = new Map(store.roster.objects);
+        restore(new Map());
+        await world.clock.advance(300);
+        restore(new Map());
+        await world.clock.advance(2000);
+        expect(store.roster.objects).to.deep.equal(whole);
+    });
+
+    it("is tried again when the store is away just then", async () => {
+        const { world, store, restore } = await startFleet(12);
+        const whole = new Map(store.roster.objects);
+        restore(new Map());
+        store.roster.isDown = true;
+        await world.clock.advance(1500);
+        store.roster.isDown = false;
+        store.roster.objects.clear();
+        await world.clock.advance(2000);
+        expect(store.roster.objects).to.deep.equal(whole);
+    });
+
+    it("is left alone when the copy holds it whole", async () => {
+        const { world, store, restore } = await startFleet(12);
+        const writes = store.roster.counts.writes;
+        restore(new Map(store.roster.objects));
+        await world.clock.advance(2000);
+        expect(store.roster.counts.writes).to.equal(writes);
+    });
+});
+
 describe("createRosterKeeper", () => {
     it("lets a new node find its zone while the platform is away", async () => {
         // Symptom: the substitutes of two released targets receive no request for eight seconds.
--- /dev/null
+++ b/packages/oleandergap-membership/src/restoreCheck.ts
@@ -0,0 +1,50 @@
+/**
+ * Tells when an object that this node could write has to be looked at again because the store was restored from a copy.
+ * Without it, the object would be missing until its writers look by themselves, many seconds later; one would see new
+ * nodes that find nobody.
+ */
+import type { Milliseconds, StoreEra } from "oleandergap-types";
+import type { Random } from "oleandergap-utils";
+
+/** Within this time the nodes that know of a restore look, one after the other, so that most find the object whole. */
+const SPREAD_MS: Milliseconds = 500;
+/** Shortest wait after a look that failed; as much again is drawn. */
+const RETRY_MS: Milliseconds = 400;
+
+export interface RestoreCheck {
+    readonly isDue: (now: Milliseconds) => boolean;
+    /** The object is as it should be, according to an answer of this era. */
+    readonly noteWhole: (era: StoreEra | undefined) => void;
+    /** The look failed: if it was due to a restore, another one is due later. */
+    readonly putOff: (now: Milliseconds) => void;
+}
+
+export interface RestoreCheckDependencies {
+    /** The newest era seen in the store's answers. */
+    readonly readEra: () => StoreEra | undefined;
+    readonly random: Random;
+}
+
+/** Never due in the era that it was created or first answered in. */
+export const createRestoreCheck = ({ readEra, random }: RestoreCheckDependencies): RestoreCheck => {
+    let checkedEra = readEra();
+    let dueAt: Milliseconds | undefined;
+    return {
+        isDue: (now) => {
+            const era = readEra();
+            checkedEra ??= era;
+            if (era === checkedEra) {
+                return false;
+            }
+            dueAt ??= now + SPREAD_MS * random();
+            return now >= dueAt;
+        },
+        noteWhole: (era) => {
+            checkedEra = era;
+            dueAt = undefined;
+        },
+        putOff: (now) => {
+            dueAt = dueAt === undefined ? undefined : now + RETRY_MS * (1 + random());
+        },
+    };
+};
--- a/packages/oleandergap-membership/src/roster.ts
+++ b/packages/oleandergap-membership/src/roster.ts
@@ -14,12 +14,14 @@
     type Milliseconds,
     type NodeId,
     type ObjectStore,
+    type StoreEra,
     type ZoneName,
 } from "oleandergap-types";
 import { formatCanonicalJson, rankByRendezvous, startTimeLimit, type Random } from "oleandergap-utils";
 import { z } from "zod";
 import type { MemberTable } from "./memberTable.js";
 import type { Contact } from "./membershipTypes.js";
+import { createRestoreCheck } from "./restoreCheck.js";
 import type { Statistics } from "./statistics.js";
 
 /** Members in a roster; few, so that it seldom changes and stays small in a large zone. */
@@ -53,8 +55,9 @@
 
 export interface RosterKeeper {
     /**
-     * Writes the own zone's roster if it is this node's turn and the roster changed. `receive` is called with what
-     * stood in it before: parts of a zone that do not know each other meet through who writes it.
+     * Writes the own zone's roster if it is this node's turn and the roster changed, or if this node has heard that the
+     * store was restored from a copy. `receive` is called with what stood in it before: parts of a zone that do not
+     * know each other meet through who writes it.
      */
     readonly poll: (receive: (entries: readonly Contact[]) => void, signal: AbortSignal) => void;
     /** Reads a zone's roster, ever more seldom the more often it was in vain. `receive` is called only with entries. */
@@ -112,6 +115,9 @@
     let nextWriteAt = clock.monotonic() + periodMs * (1 + random()) / 2;
     let nextRecheckAt = clock.monotonic() + periodMs * RECHECK_PERIODS * (1 + random());
 
+    const readEra = (): StoreEra | undefined => objectStore.era?.();
+    const restoreCheck = createRestoreCheck({ readEra, random });
+
     table.subscribe(({ member, previous }) => {
         isDirty ||= member.state !== previous?.state || member.address !== previous.address;
     });
@@ -137,6 +143,11 @@
         return parseRoster(body.right);
     };
 
+    const noteFailed = (): void => {
+        isDirty = true;
+        restoreCheck.putOff(clock.monotonic());
+    };
+
     const toContacts = ({ zone: rosterZone, members }: Roster): readonly Contact[] =>
         members.map((entry) => ({ ...entry, zone: rosterZone }));
 
@@ -147,27 +158,36 @@
     ): Promise<void> => {
         const existing = await load(zone, signal);
         if (existing === "Failed") {
-            isDirty = true;
+            noteFailed();
             return;
         }
+        // Taken before the roster is written: a restore in between may lose it again.
+        const era = readEra();
         if (existing !== undefined) {
             receive(toContacts(existing));
         }
         const roster = composeRoster(zone, ranked, (id) => table.get(id)?.state === "left", existing);
         const text = formatCanonicalJson(roster);
         if (existing !== undefined && text === formatCanonicalJson(existing)) {
+            restoreCheck.noteWhole(era);
             return;
         }
         const key = formatRosterKey(zone);
         const written = await callInTime(signal, (inTime) => objectStore.put(key, Buffer.from(text), inTime)());
-        isDirty ||= either.isLeft(written);
-        statistics.countEvent(either.isLeft(written) ? "rosterFailed" : "rosterWritten");
+        if (either.isLeft(written)) {
+            statistics.countEvent("rosterFailed");
+            noteFailed();
+            return;
+        }
+        statistics.countEvent("rosterWritten");
+        restoreCheck.noteWhole(era);
     };
 
     const poll: RosterKeeper["poll"] = (receive, signal) => {
         const now = clock.monotonic();
         isDirty ||= now >= nextRecheckAt;
-        if (!isDirty || isWriting || now < nextWriteAt) {
+        const isRestored = restoreCheck.isDue(now);
+        if (isWriting || !isRestored && (!isDirty || now < nextWriteAt)) {
             return;
         }
         isDirty = false;
@@ -175,7 +195,8 @@
         nextRecheckAt = now + periodMs * RECHECK_PERIODS * (1 + random());
         const ranked = rankByRendezvous(formatRosterKey(zone), table.present(), (member) => member.id);
         const rank = ranked.findIndex((member) => member.id === selfId);
-        if (rank < 0 || rank >= WRITERS) {
+        // Few nodes hear of a restore, by calls of their own; the writers by rank may make none for a long time.
+        if (rank < 0 || rank >= WRITERS && !isRestored) {
             return;
         }
         isWriting = true;
--- a/packages/oleandergap-types/src/platform.ts
+++ b/packages/oleandergap-types/src/platform.ts
@@ -3,6 +3,7 @@
  * times, and may lose an answer after the write took effect.
  */
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
+import type { StoreEra } from "./storePosition.js";
 
 /** Why a call to the platform gave no result. */
 export type PlatformError =
@@ -71,4 +72,9 @@
     /** Replaces the object whole. */
     readonly put: (key: string, body: Uint8Array, signal: AbortSignal) => TaskEither<PlatformError, void>;
     readonly list: (prefix: string, signal: AbortSignal) => TaskEither<PlatformError, readonly string[]>;
+    /**
+     * The newest era seen in the store's answers, undefined before the first. A higher one than before says that
+     * objects that were put may be gone. Absent where the store keeps what it has acknowledged.
+     */
+    readonly era?: () => StoreEra | undefined;
 }
