A row's version is an era, a version and the id of its write; no condition holds for another write

What callers saw: a conditional write that was prepared before a restore of the store, or that landed after it, replaced a row that its sender had never read: the store had given the row's version out again. Cause: the store's conditions name a version alone. The era in our own types cannot help a node that has not heard of the restore, nor a write that is on its way. Ruled out: a fence row that is written once an era. Two nodes that have not heard of the restore still pass it. Change: TableRow.version and VersionIs are typed as era, version and, where the position is not unique, the id of the write. The wire of the project's own platform carries era 0. No conditional write is in use on the users' platform.

--- a/packages/oleandergap-configuration/src/change/acceptance.ts
+++ b/packages/oleandergap-configuration/src/change/acceptance.ts
@@ -125,7 +125,7 @@
     };
 
     return async (request, deadline, signal) => {
-        const progress: ChangeProgress = { edits: undefined, openHeadVersions: new Set(), failedCalls: 0 };
+        const progress: ChangeProgress = { edits: undefined, openHeadVersions: [], failedCalls: 0 };
         for (let attempt = 0; attempt < options.maximumAttempts; attempt++) {
             if (attempt > 0) {
                 const { backoffBaseMs, backoffMaximumMs } = options;
--- a/packages/oleandergap-configuration/src/change/changeAttempt.ts
+++ b/packages/oleandergap-configuration/src/change/changeAttempt.ts
@@ -1,14 +1,14 @@
 /** The attempts at one change: what they leave to each other, and how each ends. */
 import * as either from "fp-ts/lib/Either.js";
 import type { ChangeError } from "./changeError.js";
-import type { ChangeResult } from "./outcomeReader.js";
+import type { ChangeResult, HeadVersion } from "./outcomeReader.js";
 import type { ResolvedEdit } from "./planChange.js";
 
 /** What earlier attempts at the same change leave to the next. */
 export interface ChangeProgress {
     edits: readonly ResolvedEdit[] | undefined;
     /** Versions of the head row on which transactions with an unknown outcome are conditional. */
-    readonly openHeadVersions: Set<number>;
+    readonly openHeadVersions: HeadVersion[];
     /** Calls that failed without effect. */
     failedCalls: number;
 }
@@ -32,7 +32,7 @@
  */
 export const failCall = (progress: ChangeProgress, error: ChangeError): AttemptStep => {
     progress.failedCalls += 1;
-    const isOpen = progress.openHeadVersions.size > 0;
+    const isOpen = progress.openHeadVersions.length > 0;
     const isWorthRetrying = error.kind === "Unavailable" && progress.failedCalls <= MAX_FAILED_CALLS;
     return isOpen || isWorthRetrying ? tryAgain : endChange(either.left(error));
 };
--- a/packages/oleandergap-configuration/src/change/changeRows.ts
+++ b/packages/oleandergap-configuration/src/change/changeRows.ts
@@ -1,7 +1,16 @@
 /** The rows that one acceptance reads and writes. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Head, Milliseconds, PartnerName, RowCondition, TableOperation, TableRow, TableService } from "oleandergap-types";
+import type {
+    Head,
+    Milliseconds,
+    PartnerName,
+    RowCondition,
+    RowVersion,
+    TableOperation,
+    TableRow,
+    TableService,
+} from "oleandergap-types";
 import type { z } from "zod";
 import {
     changeRowSchema,
@@ -20,14 +29,11 @@
 import { computeFingerprint, type ChangeRequest } from "./changeRequest.js";
 import type { SnapshotReference } from "./snapshotWriter.js";
 
-/** Version of a head row that does not exist yet. */
-const NO_ROW_VERSION = 0;
-
 /** What the platform holds when an attempt starts. */
 export interface ChangeState {
     readonly head: HeadRow;
-    /** Counts the writes to the head row; 0 before the first. */
-    readonly headVersion: number;
+    /** Undefined when there is no head row yet. */
+    readonly headVersion: RowVersion | undefined;
     /** The change's first outcome, if it has one. */
     readonly changeRow: ChangeRow | undefined;
 }
@@ -63,7 +69,7 @@
     const row = rows.right[0];
     return either.map((head: HeadRow | undefined) => ({
         head: head ?? createFirstHead(partner),
-        headVersion: row?.version ?? NO_ROW_VERSION,
+        headVersion: row?.version,
     }))(parseRow(headRowSchema, row));
 };
 
@@ -100,13 +106,13 @@
     }
     return either.right({
         head: head.right ?? createFirstHead(partner),
-        headVersion: headTableRow?.version ?? NO_ROW_VERSION,
+        headVersion: headTableRow?.version,
         changeRow: changeRow.right,
     });
 };
 
-const headIsUnmoved = (headVersion: number): RowCondition =>
-    headVersion === NO_ROW_VERSION ? { kind: "Absent" } : { kind: "VersionIs", version: headVersion };
+const headIsUnmoved = (headVersion: RowVersion | undefined): RowCondition =>
+    headVersion === undefined ? { kind: "Absent" } : { kind: "VersionIs", version: headVersion };
 
 const putFirst = (key: string, value: unknown): TableOperation => ({
     kind: "Put",
--- a/packages/oleandergap-configuration/src/change/changeTransaction.ts
+++ b/packages/oleandergap-configuration/src/change/changeTransaction.ts
@@ -29,7 +29,7 @@
             if (result.left.kind !== "OutcomeUnknown") {
                 return failCall(progress, toReadError(result.left));
             }
-            progress.openHeadVersions.add(state.headVersion);
+            progress.openHeadVersions.push(state.headVersion);
             return tryAgain;
         }
         if (result.right.kind === "Committed") {
--- a/packages/oleandergap-configuration/src/change/outcomeReader.ts
+++ b/packages/oleandergap-configuration/src/change/outcomeReader.ts
@@ -1,11 +1,17 @@
 /** Finds out what became of a change whose answer was lost, or that is repeated. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import { deltaSchema, type Delta, type Head, type TableService } from "oleandergap-types";
+import { deltaSchema, isSameWrite, type Delta, type Head, type TableService } from "oleandergap-types";
 import { formatDeltaKey, type ChangeRow } from "../platform/layout.js";
 import type { ChangeError } from "./changeError.js";
 import { computeFingerprint, type ChangeOutcome, type ChangeRequest } from "./changeRequest.js";
-import { readChangeRow, readHeadRow } from "./changeRows.js";
+import { readChangeRow, readHeadRow, type ChangeState } from "./changeRows.js";
+
+/** The version of a head row; undefined for one that does not exist. */
+export type HeadVersion = ChangeState["headVersion"];
+
+const isSameHead = (left: HeadVersion, right: HeadVersion): boolean =>
+    left === undefined || right === undefined ? left === right : isSameWrite(left, right);
 
 /** The end of a change, good or bad. */
 export type ChangeResult = Either<ChangeError, ChangeOutcome>;
@@ -20,7 +26,7 @@
      */
     readonly conclude: (
         request: ChangeRequest,
-        openHeadVersions: ReadonlySet<number>,
+        openHeadVersions: readonly HeadVersion[],
         error: ChangeError,
         signal: AbortSignal,
     ) => Promise<ChangeResult>;
@@ -54,7 +60,7 @@
      * could land between the two reads and be missed, and one would see an accepted change reported as refused.
      */
     const conclude: OutcomeReader["conclude"] = async (request, openHeadVersions, error, signal) => {
-        const hasOpenAttempt = openHeadVersions.size > 0;
+        const hasOpenAttempt = openHeadVersions.length > 0;
         if (!hasOpenAttempt && error.kind !== "Conflict") {
             return either.left(error);
         }
@@ -69,7 +75,8 @@
         if (changeRow.right !== undefined) {
             return toRepeat(request, changeRow.right, signal);
         }
-        const isSettled = either.isRight(head) && !openHeadVersions.has(head.right.headVersion);
+        const isSettled = either.isRight(head) &&
+            !openHeadVersions.some((open) => isSameHead(open, head.right.headVersion));
         return either.left(hasOpenAttempt && !isSettled ? unknown : error);
     };
 
--- a/packages/oleandergap-idempotency/src/__tests__/takeover.test.ts
+++ b/packages/oleandergap-idempotency/src/__tests__/takeover.test.ts
@@ -27,8 +27,8 @@
         const takeover = createTakeover({
             reader: {
                 read: async (key) => either.right(key === leaseKey ?
-                    { key, version: 1, value: lease(100) } :
-                    { key, version: 1, value: partition }),
+                    { key, version: { era: 0, version: 1 }, value: lease(100) } :
+                    { key, version: { era: 0, version: 1 }, value: partition }),
                 calls: () => 0,
             },
             writer,
--- a/packages/oleandergap-idempotency/src/claim/acquireClaim.ts
+++ b/packages/oleandergap-idempotency/src/claim/acquireClaim.ts
@@ -4,7 +4,15 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds, PlatformError, RequestFailure, RowCondition, TableRow } from "oleandergap-types";
+import type {
+    Clock,
+    Milliseconds,
+    PlatformError,
+    RequestFailure,
+    RowCondition,
+    RowVersion,
+    TableRow,
+} from "oleandergap-types";
 import { drawBackoff, type Random } from "oleandergap-utils";
 import type { ClaimOptions } from "../options.js";
 import { restoreAnswer, type ReplayedAnswer } from "./answer.js";
@@ -65,7 +73,12 @@
         { kind: "Replay", answer };
 };
 
-const judgeOther = (found: ClaimRow, version: number, fingerprint: string, retryAfterMs: Milliseconds): Reading => {
+const judgeOther = (
+    found: ClaimRow,
+    version: RowVersion,
+    fingerprint: string,
+    retryAfterMs: Milliseconds,
+): Reading => {
     if (found.state === "released") {
         return { kind: "Insert", condition: { kind: "VersionIs", version } };
     }
--- a/packages/oleandergap-idempotency/src/claim/settler.ts
+++ b/packages/oleandergap-idempotency/src/claim/settler.ts
@@ -7,7 +7,7 @@
  * run. One would otherwise see keys that answer "may have run" although no target ever saw them.
  */
 import * as either from "fp-ts/lib/Either.js";
-import type { Clock, RowCondition, TableRow } from "oleandergap-types";
+import type { Clock, RowCondition, RowVersion, TableRow } from "oleandergap-types";
 import type { Logger } from "oleandergap-logger";
 import { drawBackoff, type Random } from "oleandergap-utils";
 import type { ClaimOptions } from "../options.js";
@@ -44,7 +44,7 @@
     | { readonly kind: "Retry" }
     | { readonly kind: "Write"; readonly condition: RowCondition };
 
-const replace = (version: number): NextStep => ({ kind: "Write", condition: { kind: "VersionIs", version } });
+const replace = (version: RowVersion): NextStep => ({ kind: "Write", condition: { kind: "VersionIs", version } });
 
 /**
  * What the row, as just read, leaves to do. A row that another attempt holds or finished is never overwritten. One that
--- a/packages/oleandergap-idempotency/src/measure/memoryTable.ts
+++ b/packages/oleandergap-idempotency/src/measure/memoryTable.ts
@@ -4,16 +4,18 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type {
-    Clock,
-    Milliseconds,
-    PlatformError,
-    RowCondition,
-    TableOperation,
-    TableRow,
-    TableScan,
-    TableService,
-    TransactionResult,
+import {
+    isSameWrite,
+    UNTOLD_ERA,
+    type Clock,
+    type Milliseconds,
+    type PlatformError,
+    type RowCondition,
+    type TableOperation,
+    type TableRow,
+    type TableScan,
+    type TableService,
+    type TransactionResult,
 } from "oleandergap-types";
 
 /** What happens to one call. */
@@ -53,7 +55,7 @@
         case "Absent":
             return row === undefined;
         case "VersionIs":
-            return row?.version === condition.version;
+            return row !== undefined && isSameWrite(row.version, condition.version);
     }
 };
 
@@ -66,8 +68,12 @@
 
     const apply = (operation: TableOperation): void => {
         if (operation.kind === "Put") {
-            const version = (rows.get(operation.key)?.version ?? 0) + 1;
-            rows.set(operation.key, { key: operation.key, version, value: structuredClone(operation.value) });
+            const version = (rows.get(operation.key)?.version.version ?? 0) + 1;
+            rows.set(operation.key, {
+                key: operation.key,
+                version: { era: UNTOLD_ERA, version },
+                value: structuredClone(operation.value),
+            });
             counts.rowWrites += 1;
         }
         else if (operation.kind === "Delete") {
--- a/packages/oleandergap-idempotency/src/ownership/nodeLease.ts
+++ b/packages/oleandergap-idempotency/src/ownership/nodeLease.ts
@@ -3,7 +3,14 @@
  * back, and a row that somebody fenced ends the lease for good.
  */
 import * as either from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds, RowCondition, TableRow } from "oleandergap-types";
+import {
+    UNTOLD_ERA,
+    type Clock,
+    type Milliseconds,
+    type RowCondition,
+    type RowVersion,
+    type TableRow,
+} from "oleandergap-types";
 import type { Logger } from "oleandergap-logger";
 import type { BatchReader } from "../claim/batchReader.js";
 import type { BatchWriter } from "../claim/batchWriter.js";
@@ -31,16 +38,23 @@
     readonly options: Pick<OwnershipOptions, "leaseMs">;
 }
 
+/**
+ * The version of the row after a write of our own. A platform that counts otherwise refuses the next renewal, which
+ * then reads the row.
+ */
+const nextVersion = (version: RowVersion | undefined): RowVersion =>
+    ({ era: version?.era ?? UNTOLD_ERA, version: (version?.version ?? 0) + 1 });
+
 export const createNodeLease = (dependencies: NodeLeaseDependencies): NodeLease => {
     const { reader, writer, clock, logger, holder, options } = dependencies;
     const key = formatLeaseKey(holder);
     let ceiling = Number.NEGATIVE_INFINITY;
-    let version = 0;
+    let version: RowVersion | undefined;
     let lost = false;
 
     const adopt = (row: TableRow | undefined): void => {
         if (row === undefined) {
-            version = 0;
+            version = undefined;
             return;
         }
         const parsed = leaseRowSchema.safeParse(row.value);
@@ -55,10 +69,10 @@
 
     const renew = async (): Promise<void> => {
         const value: LeaseRow = { state: "active", ceiling: Math.max(ceiling, clock.now() + options.leaseMs) };
-        const condition: RowCondition = version === 0 ? { kind: "Absent" } : { kind: "VersionIs", version };
+        const condition: RowCondition = version === undefined ? { kind: "Absent" } : { kind: "VersionIs", version };
         const outcome = await writer.submit({ key, condition, value });
         if (outcome.kind === "Written") {
-            version += 1;
+            version = nextVersion(version);
             ceiling = value.ceiling;
             return;
         }
--- a/packages/oleandergap-idempotency/src/ownership/partitionHolding.ts
+++ b/packages/oleandergap-idempotency/src/ownership/partitionHolding.ts
@@ -3,7 +3,7 @@
  * is never forgotten: the row is read again until it tells the outcome or its version has moved on.
  */
 import * as either from "fp-ts/lib/Either.js";
-import type { Milliseconds } from "oleandergap-types";
+import type { Milliseconds, RowVersion } from "oleandergap-types";
 import type { BatchReader } from "../claim/batchReader.js";
 import type { BatchWriter, WriteOutcome } from "../claim/batchWriter.js";
 import type { KeyLedger } from "./keyLedger.js";
@@ -14,9 +14,9 @@
     | { readonly kind: "None" }
     /** A write that takes the partition may be on its way. */
     | { readonly kind: "Taking" }
-    | { readonly kind: "Held"; readonly version: number; readonly range: KeyRange }
+    | { readonly kind: "Held"; readonly version: RowVersion; readonly range: KeyRange }
     /** No key is accepted any more; `isUncertain` once a write that gives it up may be on its way. */
-    | { readonly kind: "Leaving"; readonly version: number; readonly range: KeyRange; readonly isUncertain: boolean };
+    | { readonly kind: "Leaving"; readonly version: RowVersion; readonly range: KeyRange; readonly isUncertain: boolean };
 
 export interface PartitionHolding {
     /** The keys that may be accepted; undefined when this process does not hold the partition. */
--- a/packages/oleandergap-idempotency/src/ownership/takeover.ts
+++ b/packages/oleandergap-idempotency/src/ownership/takeover.ts
@@ -1,6 +1,14 @@
 /** Reads who holds a partition and decides whether this process may take it over. */
 import * as either from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds, NodeId, RowCondition, TableRow } from "oleandergap-types";
+import {
+    isSameWrite,
+    type Clock,
+    type Milliseconds,
+    type NodeId,
+    type RowCondition,
+    type RowVersion,
+    type TableRow,
+} from "oleandergap-types";
 import type { BatchReader } from "../claim/batchReader.js";
 import type { BatchWriter } from "../claim/batchWriter.js";
 import type { OwnershipOptions } from "../options.js";
@@ -18,7 +26,7 @@
 
 export type TakeoverStep =
     /** The row already names this process. */
-    | { readonly kind: "Held"; readonly version: number; readonly range: KeyRange }
+    | { readonly kind: "Held"; readonly version: RowVersion; readonly range: KeyRange }
     /** Write this row under this condition. */
     | { readonly kind: "Take"; readonly condition: RowCondition; readonly row: PartitionRow }
     /** Somebody else holds it, or the platform did not tell. */
@@ -40,7 +48,7 @@
 }
 
 interface Observation {
-    readonly version: number;
+    readonly version: RowVersion;
     readonly since: Milliseconds;
 }
 
@@ -49,9 +57,9 @@
     /** Since when the lease rows of nodes that left have not changed, on this process's own clock. */
     const observations = new Map<string, Observation>();
 
-    const isUnchanged = (leaseKey: string, version: number): boolean => {
+    const isUnchanged = (leaseKey: string, version: RowVersion): boolean => {
         const seen = observations.get(leaseKey);
-        if (seen?.version !== version) {
+        if (seen === undefined || !isSameWrite(seen.version, version)) {
             observations.set(leaseKey, { version, since: clock.monotonic() });
             return options.takeoverWaitMs === 0;
         }
@@ -68,7 +76,12 @@
         await writer.submit({ key: row.key, condition: { kind: "VersionIs", version: row.version }, value });
     };
 
-    const takeFrom = async (former: Holder, own: Holder, row: PartitionRow, version: number): Promise<TakeoverStep> => {
+    const takeFrom = async (
+        former: Holder,
+        own: Holder,
+        row: PartitionRow,
+        version: RowVersion,
+    ): Promise<TakeoverStep> => {
         const found = await reader.read(formatLeaseKey(former));
         if (either.isLeft(found) || found.right === undefined) {
             return { kind: "Wait" };
--- a/packages/oleandergap-operator/src/__tests__/fakes.ts
+++ b/packages/oleandergap-operator/src/__tests__/fakes.ts
@@ -41,7 +41,8 @@
         [formatOperatorKey(hashCredential(KUSHIRO_CREDENTIAL)), sato],
     ]);
     const readRows = (keys: readonly string[]): readonly TableRow[] =>
-        keys.filter((key) => rows.has(key)).map((key) => ({ key, version: 1, value: rows.get(key) }));
+        keys.filter((key) => rows.has(key))
+            .map((key) => ({ key, version: { era: 0, version: 1 }, value: rows.get(key) }));
     const table: FakeTable = {
         rows,
         failure: undefined,
--- a/packages/oleandergap-platform/src/__tests__/platformClient.test.ts
+++ b/packages/oleandergap-platform/src/__tests__/platformClient.test.ts
@@ -47,7 +47,7 @@
     });
 
     it("returns rows, transaction results and objects as answered", async () => {
-        const row = { key: "a", version: 2, value: { deep: [1] } };
+        const row = { key: "a", version: { era: 0, version: 2 }, value: { deep: [1] } };
         server.answerWith(answerJson({ rows: [row] }));
         expect(await client.tableService.read(["a"], signal)()).to.deep.equal(either.right([row]));
         server.answerWith(answerJson({ kind: "ConditionFailed", keys: ["a"] }));
@@ -112,7 +112,7 @@
     // Sequence: two answers cross on their way.
     // Cause: an answer names no question; only its keys show whose it is.
     it("refuses rows that were not asked for", async () => {
-        server.answerWith(answerJson({ rows: [{ key: "other", version: 1, value: 1 }] }));
+        server.answerWith(answerJson({ rows: [{ key: "other", version: { era: 0, version: 1 }, value: 1 }] }));
         expect(kindOf(await client.tableService.read(["a"], signal)())).to.equal("Unavailable");
         expect(kindOf(await client.tableService.scan({ prefix: "a", limit: 5 }, signal)())).to.equal("Unavailable");
     });
--- a/packages/oleandergap-platform/src/__tests__/tableState.test.ts
+++ b/packages/oleandergap-platform/src/__tests__/tableState.test.ts
@@ -1,14 +1,23 @@
 import { expect } from "chai";
 import fastCheck from "fast-check";
-import type { RowCondition, TableOperation, TableRow, TableScan } from "oleandergap-types";
+import {
+    UNTOLD_ERA,
+    type RowCondition,
+    type RowVersion,
+    type TableOperation,
+    type TableRow,
+    type TableScan,
+} from "oleandergap-types";
 import { createTableState } from "../tableState.js";
 
+const versionAt = (version: number): RowVersion => ({ era: UNTOLD_ERA, version });
+
 const keys = ["a/1", "a/2", "a/3", "ab/1", "b/1"];
 
 const conditionArbitrary: fastCheck.Arbitrary<RowCondition> = fastCheck.oneof(
     fastCheck.constant<RowCondition>({ kind: "Any" }),
     fastCheck.constant<RowCondition>({ kind: "Absent" }),
-    fastCheck.integer({ min: 1, max: 3 }).map((version): RowCondition => ({ kind: "VersionIs", version })),
+    fastCheck.integer({ min: 1, max: 3 }).map((version): RowCondition => ({ kind: "VersionIs", version: versionAt(version) })),
 );
 
 const operationArbitrary: fastCheck.Arbitrary<TableOperation> = fastCheck
@@ -48,9 +57,9 @@
     const written: string[] = [];
     const find = (key: string): TableRow | undefined => rows.find((row) => row.key === key);
     const isMet = ({ key, condition }: TableOperation): boolean => {
-        const version = find(key)?.version;
+        const version = find(key)?.version.version;
         return condition.kind === "Any" || (condition.kind === "Absent" ? version === undefined :
-            version === condition.version);
+            version === condition.version.version);
     };
     return {
         transact: (operations: readonly TableOperation[]): readonly string[] => {
@@ -60,7 +69,7 @@
                 if (operation.kind === "Put") {
                     written.push(operation.key);
                     const version = written.filter((key) => key === operation.key).length;
-                    rows = [...rows, { key: operation.key, version, value: operation.value }];
+                    rows = [...rows, { key: operation.key, version: versionAt(version), value: operation.value }];
                 }
             }
             return failed;
@@ -101,7 +110,7 @@
         const table = createTableState();
         const create: TableOperation = { kind: "Put", key: "a/1", condition: { kind: "Absent" }, value: 1 };
         table.transact([create]);
-        const version = table.read(["a/1"])[0]?.version ?? 0;
+        const version = table.read(["a/1"])[0]?.version ?? versionAt(0);
         table.transact([{ kind: "Delete", key: "a/1", condition: { kind: "Any" } }]);
         table.transact([create]);
         const delayed = table.transact([{ kind: "Delete", key: "a/1", condition: { kind: "VersionIs", version } }]);
--- a/packages/oleandergap-platform/src/tableState.ts
+++ b/packages/oleandergap-platform/src/tableState.ts
@@ -6,7 +6,15 @@
  * condition taken from the deleted row could hold for the new one (the ABA problem): one would see a delayed write
  * replace a row that its sender never read.
  */
-import type { RowCondition, TableOperation, TableRow, TableScan, TransactionResult } from "oleandergap-types";
+import {
+    isSameWrite,
+    UNTOLD_ERA,
+    type RowCondition,
+    type TableOperation,
+    type TableRow,
+    type TableScan,
+    type TransactionResult,
+} from "oleandergap-types";
 
 /** Rows by key; every call is complete when it returns. */
 export interface TableState {
@@ -40,7 +48,7 @@
         case "Absent":
             return row === undefined;
         case "VersionIs":
-            return row?.version === condition.version;
+            return row !== undefined && isSameWrite(row.version, condition.version);
     }
 };
 
@@ -56,20 +64,21 @@
 
     const put = (key: string, value: unknown): void => {
         const existing = rows.get(key);
-        const version = existing?.version ?? deletedVersions.get(key) ?? 0;
+        const version = existing?.version.version ?? deletedVersions.get(key) ?? 0;
         if (existing === undefined) {
             deletedVersions.delete(key);
             sortedKeys.splice(findPosition(sortedKeys, key), 0, key);
         }
         // The text round trip keeps a caller's later changes to its object out of the table, as a network would.
-        rows.set(key, { key, version: version + 1, value: JSON.parse(JSON.stringify(value)) as unknown });
+        const content = JSON.parse(JSON.stringify(value)) as unknown;
+        rows.set(key, { key, version: { era: UNTOLD_ERA, version: version + 1 }, value: content });
     };
 
     const remove = (key: string): void => {
         const existing = rows.get(key);
         if (existing !== undefined) {
             rows.delete(key);
-            deletedVersions.set(key, existing.version);
+            deletedVersions.set(key, existing.version.version);
             sortedKeys.splice(findPosition(sortedKeys, key), 1);
         }
     };
--- a/packages/oleandergap-platform/src/wire.ts
+++ b/packages/oleandergap-platform/src/wire.ts
@@ -13,6 +13,7 @@
  *
  * 503 and 429 say that the call had no effect; so does any other 4xx. Any other 5xx leaves a write's outcome open.
  */
+import { storePositionSchema } from "oleandergap-types";
 import { z } from "zod";
 
 /** Path of a read of single rows. */
@@ -41,14 +42,14 @@
 
 const tableRowSchema = z.strictObject({
     key: platformKeySchema,
-    version: z.number().int().min(1),
+    version: storePositionSchema,
     value: jsonValueSchema,
 });
 
 const rowConditionSchema = z.discriminatedUnion("kind", [
     z.strictObject({ kind: z.literal("Any") }),
     z.strictObject({ kind: z.literal("Absent") }),
-    z.strictObject({ kind: z.literal("VersionIs"), version: z.number().int().min(1) }),
+    z.strictObject({ kind: z.literal("VersionIs"), version: storePositionSchema }),
 ]);
 
 const tableOperationSchema = z.discriminatedUnion("kind", [
--- a/packages/oleandergap-standins/src/platform/__tests__/platformStandIn.test.ts
+++ b/packages/oleandergap-standins/src/platform/__tests__/platformStandIn.test.ts
@@ -36,12 +36,12 @@
         const refused = await post(platform.port, "/table/transact", {
             operations: [
                 { kind: "Put", key: "b", condition: { kind: "Any" }, value: 2 },
-                { kind: "Put", key: "a", condition: { kind: "VersionIs", version: 7 }, value: 3 },
+                { kind: "Put", key: "a", condition: { kind: "VersionIs", version: { era: 0, version: 7 } }, value: 3 },
             ],
         });
 
         expect(refused.body).to.deep.equal({ kind: "ConditionFailed", keys: ["a"] });
-        expect(platform.state.table.read(["a", "b"])).to.deep.equal([{ key: "a", version: 1, value: 1 }]);
+        expect(platform.state.table.read(["a", "b"])).to.deep.equal([{ key: "a", version: { era: 0, version: 1 }, value: 1 }]);
     });
 
     it("loses an answer after the write took effect", async () => {
@@ -79,7 +79,7 @@
 
         expect([first.status, second.status, third.status]).to.deep.equal([200, 200, 503]);
         expect(third.retryAfter).to.equal("1");
-        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: 2, value: 2 }]);
+        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: { era: 0, version: 2 }, value: 2 }]);
         expect(await post(platform.port, "/table/read", { keys: ["a"] })).to.include({ status: 200 });
     });
 
--- a/packages/oleandergap-types/src/platform.ts
+++ b/packages/oleandergap-types/src/platform.ts
@@ -3,7 +3,7 @@
  * times, and may lose an answer after the write took effect.
  */
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
-import type { StoreEra } from "./storePosition.js";
+import { isSamePosition, type StoreEra, type StorePosition } from "./storePosition.js";
 
 /** Why a call to the platform gave no result. */
 export type PlatformError =
@@ -14,15 +14,27 @@
     /** This process's own budget of calls is used up; nothing was sent. */
     | { readonly kind: "OverBudget"; readonly retryAfterMs: number };
 
+/**
+ * Names one write of a row; handed back in conditions as it was read. An adapter must guarantee that no two writes of a
+ * key are taken for one, also when the row is deleted and created anew, or when the store is restored and gives its
+ * versions out again: otherwise a delayed write with a `VersionIs` condition could replace a row that its sender never
+ * read (the ABA problem).
+ */
+export interface RowVersion extends StorePosition {
+    /** Unique to the write, where the position is not. */
+    readonly writeId?: string | undefined;
+}
+
+/** Whether two versions of one key name the same write. */
+export const isSameWrite = (left: RowVersion, right: RowVersion): boolean =>
+    left.writeId === undefined && right.writeId === undefined ?
+        isSamePosition(left, right) :
+        left.writeId === right.writeId;
+
 /** A row as read. */
 export interface TableRow {
     readonly key: string;
-    /**
-     * Counts the writes to the key over the table's whole life, from 1. A platform must guarantee that no version of a
-     * key ever repeats, also when the row is deleted and created anew: otherwise a delayed write with a `VersionIs`
-     * condition could replace a row that its sender never read.
-     */
-    readonly version: number;
+    readonly version: RowVersion;
     /** A JSON value; its reader checks it against a schema. */
     readonly value: unknown;
 }
@@ -31,7 +43,7 @@
 export type RowCondition =
     | { readonly kind: "Any" }
     | { readonly kind: "Absent" }
-    | { readonly kind: "VersionIs"; readonly version: number };
+    | { readonly kind: "VersionIs"; readonly version: RowVersion };
 
 /** One step of a transaction. All conditions hold and all steps take effect, or none. */
 export type TableOperation =
