--- a/packages/oleandergap-membership/src/restoreCheck.ts
+++ b/packages/oleandergap-membership/src/restoreCheck.ts
@@ -7,7 +7,7 @@
 import type { Random } from "oleandergap-utils";
 
 /** Within this time the nodes that know of a restore look, one after the other, so that most find the object whole. */
-const SPREAD_MS: Milliseconds = 500;
+const SPREAD_MS: Milliseconds = 300;
 /** Shortest wait after a look that failed; as much again is drawn. */
 const RETRY_MS: Milliseconds = 400;
 
