--- a/packages/oleandergap-utils/src/manualClock.ts
+++ b/packages/oleandergap-utils/src/manualClock.ts
@@ -41,10 +41,18 @@
         };
     };
 
-    const nextDue = (limit: Milliseconds): ManualTimer | undefined =>
-        [...timers]
-            .filter((timer) => timer.due <= limit)
-            .sort((left, right) => left.due - right.due || left.order - right.order)[0];
+    const isBefore = (left: ManualTimer, right: ManualTimer): boolean =>
+        left.due === right.due ? left.order < right.order : left.due < right.due;
+
+    const nextDue = (limit: Milliseconds): ManualTimer | undefined => {
+        let next: ManualTimer | undefined;
+        for (const timer of timers) {
+            if (timer.due <= limit && (next === undefined || isBefore(timer, next))) {
+                next = timer;
+            }
+        }
+        return next;
+    };
 
     const advance = async (duration: Milliseconds): Promise<void> => {
         const end = time + duration;
