--- a/packages/oleandergap-platform/src/classifyExchange.ts
+++ b/packages/oleandergap-platform/src/classifyExchange.ts
@@ -1,8 +1,8 @@
 /** Says what the end of an exchange means for its call: done, surely without effect, or with an unknown outcome. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { PlatformError } from "oleandergap-types";
-import type { AnswerHeaders, ExchangeResult } from "./exchange.js";
+import type { PlatformError, StoreEra } from "oleandergap-types";
+import type { ExchangeResult } from "./exchange.js";
 
 /** A write may change something at the platform; a read, scan, get or list never does. */
 export type CallKind = "Read" | "Write";
@@ -10,10 +10,14 @@
 /** An answer that arrived whole, with one of the statuses of a success. */
 export interface PlatformAnswer {
     readonly status: number;
-    readonly headers: AnswerHeaders;
     readonly body: Buffer;
 }
 
+/** An answer, and the era that the platform gave it in. */
+export interface DatedAnswer extends PlatformAnswer {
+    readonly era: StoreEra;
+}
+
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
 const STATUS_SERVER_ERROR = 500;
@@ -54,7 +58,7 @@
             break;
     }
     if (SUCCESS_STATUSES.has(result.status)) {
-        return either.right({ status: result.status, headers: result.headers, body: result.body });
+        return either.right({ status: result.status, body: result.body });
     }
     const detail = `the platform answered with status ${result.status}`;
     return either.left(isRefusal(result.status) ? { kind: "Unavailable", detail } : toMissingAnswer(kind, detail));
--- a/packages/oleandergap-platform/src/index.ts
+++ b/packages/oleandergap-platform/src/index.ts
@@ -1,7 +1,7 @@
 /** Adapters to the platform's table service and object store, their wire schemas, and a platform in memory. */
-export { createChannel, type Channel, type ChannelOptions } from "./channel.js";
+export { createChannel, type Channel, type ChannelOptions, type EraSource } from "./channel.js";
 export * from "./eraWatch.js";
-export type { CallKind, PlatformAnswer } from "./classifyExchange.js";
+export type { CallKind, DatedAnswer, PlatformAnswer } from "./classifyExchange.js";
 export { parseJson, type ParsedJson } from "./parseJson.js";
 export * from "./memoryPlatform.js";
 export * from "./objectStoreClient.js";
