The platform's stand-in can be restored from a copy, and nodes follow its era

Row versions carry the era on the wire. Evidence: tests of restore in tableState.test.ts, platformStandIn.test.ts and platformClient.test.ts; those of platform and stand-ins pass.

--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -1,6 +1,13 @@
 /** What a node takes from its surroundings, each with the project's own way as the default. */
-import { createObjectStoreClient, createTableServiceClient } from "oleandergap-platform";
-import type { ObjectStoreClient, TableServiceClient } from "oleandergap-platform";
+import {
+    createEraWatch,
+    createObjectStoreClient,
+    createTableServiceClient,
+    ERA_HEADER,
+    type EraSource,
+    type ObjectStoreClient,
+    type TableServiceClient,
+} from "oleandergap-platform";
 import { createConfigurationSource, type ConfigurationSource } from "oleandergap-configuration";
 import type { Clock, ServiceReference } from "oleandergap-types";
 import type { Logger } from "oleandergap-logger";
@@ -54,9 +61,15 @@
 /** The node's own headers, the two services of the platform at the addresses of the settings, no further listeners. */
 export const ownAdapters: NodeAdapters = {
     dialects: ownDialects,
-    openPlatform: ({ options, clock, signal }) => {
-        const tableService = createTableServiceClient({ ...options.platform.tableService, clock, signal });
-        const objectStore = createObjectStoreClient({ ...options.platform.objectStore, clock, signal });
+    openPlatform: ({ options, clock, logger, signal }) => {
+        const followEra = (): EraSource => ({ watch: createEraWatch(logger), header: ERA_HEADER });
+        const shared = { clock, signal };
+        const tableService = createTableServiceClient({
+            ...options.platform.tableService,
+            ...shared,
+            eras: followEra(),
+        });
+        const objectStore = createObjectStoreClient({ ...options.platform.objectStore, ...shared, eras: followEra() });
         return { tableService, objectStore, source: createConfigurationSource({ tableService, objectStore }) };
     },
     callerService: undefined,
--- a/packages/oleandergap-platform/src/__tests__/platformClient.test.ts
+++ b/packages/oleandergap-platform/src/__tests__/platformClient.test.ts
@@ -3,8 +3,10 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { PlatformError, TableOperation } from "oleandergap-types";
 import { createManualClock, createTokenBucket, type ManualClock } from "oleandergap-utils";
+import { createEraWatch } from "../eraWatch.js";
 import { platformOptionsSchema } from "../options.js";
 import { createPlatformClient, type PlatformClient } from "../platformClient.js";
+import { ERA_HEADER } from "../wire.js";
 import { answerJson, answerNothing, startWireServer, type Answer, type WireServer } from "./wireServer.js";
 
 const TIMEOUT_MS = 500;
@@ -111,6 +113,39 @@
     // Symptom: one reader sees the rows of another's question.
     // Sequence: two answers cross on their way.
     // Cause: an answer names no question; only its keys show whose it is.
+    it("takes an answer of an era that is over for no answer, and tells the newest era", async () => {
+        const lines: string[] = [];
+        const note = (line: string): void => {
+            lines.push(line);
+        };
+        const eras = {
+            watch: createEraWatch({ debug: note, info: note, warn: note, error: note }),
+            header: ERA_HEADER,
+        };
+        const following = createPlatformClient({
+            ...platformOptionsSchema.parse({ address: "127.0.0.1", port: server.port, timeoutMs: TIMEOUT_MS }),
+            clock,
+            signal: ending.signal,
+            eras,
+        });
+        const answerIn = (era: number | readonly string[], value: unknown): void => {
+            server.answerWith((_request, response) => {
+                response.setHeader(ERA_HEADER, era);
+                response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(value));
+            });
+        };
+        answerIn(4, { rows: [] });
+        expect(kindOf(await following.tableService.read(["a"], signal)())).to.equal("Right");
+        answerIn(3, { rows: [] });
+        expect(kindOf(await following.tableService.read(["a"], signal)())).to.equal("Unavailable");
+        answerIn(3, { kind: "Committed" });
+        expect(kindOf(await following.tableService.transact(operations, signal)())).to.equal("OutcomeUnknown");
+        answerIn(["4", "5"], { rows: [] });
+        expect(kindOf(await following.tableService.read(["a"], signal)())).to.equal("Unavailable");
+        expect(following.objectStore.era?.()).to.equal(4);
+        expect(lines).to.have.length(2);
+    });
+
     it("refuses rows that were not asked for", async () => {
         server.answerWith(answerJson({ rows: [{ key: "other", version: { era: 0, version: 1 }, value: 1 }] }));
         expect(kindOf(await client.tableService.read(["a"], signal)())).to.equal("Unavailable");
--- a/packages/oleandergap-platform/src/__tests__/tableState.test.ts
+++ b/packages/oleandergap-platform/src/__tests__/tableState.test.ts
@@ -117,4 +117,19 @@
         expect(delayed).to.deep.equal({ kind: "ConditionFailed", keys: ["a/1"] });
         expect(table.read(["a/1"])).to.have.lengthOf(1);
     });
+
+    it("gives versions out again after a restore, in another era that no condition takes for the first", () => {
+        const table = createTableState();
+        const put = (value: number): TableOperation => ({ kind: "Put", key: "a/1", condition: { kind: "Any" }, value });
+        table.transact([put(1)]);
+        const copy = table.takeCopy();
+        table.transact([put(2)]);
+        const lost = table.read(["a/1"])[0]?.version ?? versionAt(0);
+        table.restore(copy);
+        expect(table.read(["a/1"])).to.deep.equal([{ key: "a/1", version: versionAt(1), value: 1 }]);
+        table.transact([put(3)]);
+        expect(table.read(["a/1"])[0]?.version).to.deep.equal({ ...lost, era: 1 });
+        const late = table.transact([{ kind: "Delete", key: "a/1", condition: { kind: "VersionIs", version: lost } }]);
+        expect(late).to.deep.equal({ kind: "ConditionFailed", keys: ["a/1"] });
+    });
 });
--- a/packages/oleandergap-platform/src/objectStoreClient.ts
+++ b/packages/oleandergap-platform/src/objectStoreClient.ts
@@ -4,6 +4,7 @@
 import type { ObjectStore, PlatformError } from "oleandergap-types";
 import { createChannel, type Channel, type ChannelOptions } from "./channel.js";
 import type { PlatformCounters } from "./platformCounters.js";
+import type { EraWatch } from "./eraWatch.js";
 import { parseJson } from "./parseJson.js";
 import { formatObjectPath, listAnswerSchema, OBJECTS_PATH } from "./wire.js";
 
@@ -17,7 +18,7 @@
 const STATUS_NOT_FOUND = 404;
 
 /** Uses the connections of `channel`, which a table service client may share. */
-export const createObjectStoreOn = (channel: Channel): ObjectStoreClient => {
+export const createObjectStoreOn = (channel: Channel, eras?: EraWatch): ObjectStoreClient => {
     const get: ObjectStore["get"] = (key, signal) => async () => {
         const answer = await channel.call("Read", { method: "GET", path: formatObjectPath(key) }, signal);
         if (either.isLeft(answer)) {
@@ -56,9 +57,9 @@
             either.left(channel.rejectAnswer("Read", "unreadable list of objects"));
     };
 
-    return { get, put, list, counters: channel.counters };
+    return { get, put, list, counters: channel.counters, ...eras === undefined ? {} : { era: eras.newest } };
 };
 
 /** Opens connections of its own. */
 export const createObjectStoreClient = (options: ChannelOptions): ObjectStoreClient =>
-    createObjectStoreOn(createChannel(options));
+    createObjectStoreOn(createChannel(options), options.eras?.watch);
--- a/packages/oleandergap-platform/src/platformClient.ts
+++ b/packages/oleandergap-platform/src/platformClient.ts
@@ -16,7 +16,7 @@
     const channel = createChannel(options);
     return {
         tableService: createTableServiceOn(channel),
-        objectStore: createObjectStoreOn(channel),
+        objectStore: createObjectStoreOn(channel, options.eras?.watch),
         counters: channel.counters,
     };
 };
--- a/packages/oleandergap-platform/src/tableState.ts
+++ b/packages/oleandergap-platform/src/tableState.ts
@@ -10,6 +10,7 @@
     isSameWrite,
     UNTOLD_ERA,
     type RowCondition,
+    type StoreEra,
     type TableOperation,
     type TableRow,
     type TableScan,
@@ -23,6 +24,17 @@
     /** All conditions are checked against the state before the transaction; then all steps take effect, or none. */
     readonly transact: (operations: readonly TableOperation[]) => TransactionResult;
     readonly size: () => number;
+    readonly takeCopy: () => TableCopy;
+    /** Goes back to a copy, and begins a new era, in which versions are given out again. */
+    readonly restore: (copy: TableCopy) => void;
+    /** The number of restores so far. */
+    readonly era: () => StoreEra;
+}
+
+/** All that a table held at a moment. */
+export interface TableCopy {
+    readonly rows: ReadonlyMap<string, TableRow>;
+    readonly deletedVersions: ReadonlyMap<string, number>;
 }
 
 /** Index of the first of the sorted `keys` that is not below `key`. */
@@ -57,10 +69,11 @@
 
 /** Starts empty. */
 export const createTableState = (): TableState => {
-    const rows = new Map<string, TableRow>();
+    let era: StoreEra = UNTOLD_ERA;
+    let rows = new Map<string, TableRow>();
     /** Last versions of deleted rows; grows by one number for each key that stays deleted. */
-    const deletedVersions = new Map<string, number>();
-    const sortedKeys: string[] = [];
+    let deletedVersions = new Map<string, number>();
+    let sortedKeys: string[] = [];
 
     const put = (key: string, value: unknown): void => {
         const existing = rows.get(key);
@@ -71,7 +84,7 @@
         }
         // The text round trip keeps a caller's later changes to its object out of the table, as a network would.
         const content = JSON.parse(JSON.stringify(value)) as unknown;
-        rows.set(key, { key, version: { era: UNTOLD_ERA, version: version + 1 }, value: content });
+        rows.set(key, { key, version: { era, version: version + 1 }, value: content });
     };
 
     const remove = (key: string): void => {
@@ -128,5 +141,13 @@
             return { kind: "Committed" };
         },
         size: () => rows.size,
+        takeCopy: () => ({ rows: new Map(rows), deletedVersions: new Map(deletedVersions) }),
+        restore: (copy) => {
+            rows = new Map(copy.rows);
+            deletedVersions = new Map(copy.deletedVersions);
+            sortedKeys = [...rows.keys()].sort();
+            era += 1;
+        },
+        era: () => era,
     };
 };
--- a/packages/oleandergap-platform/src/wire.ts
+++ b/packages/oleandergap-platform/src/wire.ts
@@ -11,11 +11,16 @@
  * | `PUT /objects/<key>` | the bytes | 204 |
  * | `GET /objects?prefix=<prefix>` | | 200 {@link listAnswerSchema} |
  *
+ * Each answer names the era of the store in {@link ERA_HEADER}; a platform without the header is in one era for good.
+ *
  * 503 and 429 say that the call had no effect; so does any other 4xx. Any other 5xx leaves a write's outcome open.
  */
 import { storePositionSchema } from "oleandergap-types";
 import { z } from "zod";
 
+/** In each answer: the era of the platform's store, which rises with each restore from a copy. */
+export const ERA_HEADER = "oleandergap-store-era";
+
 /** Path of a read of single rows. */
 export const TABLE_READ_PATH = "/table/read";
 /** Path of a scan. */
--- a/packages/oleandergap-standins/src/platform/__tests__/platformStandIn.test.ts
+++ b/packages/oleandergap-standins/src/platform/__tests__/platformStandIn.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { request } from "undici";
+import { ERA_HEADER } from "oleandergap-platform";
 import { createManualClock } from "oleandergap-utils";
 import { startPlatformStandIn, type PlatformStandIn } from "../platformStandIn.js";
 
@@ -83,6 +84,24 @@
         expect(await post(platform.port, "/table/read", { keys: ["a"] })).to.include({ status: 200 });
     });
 
+    it("goes back to a copy, names the next era, and gives versions out again", async () => {
+        const readEra = async (): Promise<unknown> => {
+            const answer = await request(`http://127.0.0.1:${platform.port}/table/rows/a`);
+            await answer.body.dump();
+            return answer.headers[ERA_HEADER];
+        };
+        await post(platform.port, "/table/transact", put("a", 1));
+        expect(await readEra()).to.equal("0");
+        expect(await post(platform.port, "/control/restore", {})).to.include({ status: 409 });
+        await post(platform.port, "/control/copy", {});
+        platform.state.table.transact([{ kind: "Put", key: "a", condition: { kind: "Any" }, value: 2 }]);
+        expect(await post(platform.port, "/control/restore", {})).to.deep.include({ status: 200, body: { era: 1 } });
+        expect(await readEra()).to.equal("1");
+        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: { era: 0, version: 1 }, value: 1 }]);
+        await post(platform.port, "/table/transact", put("a", 3));
+        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: { era: 1, version: 2 }, value: 3 }]);
+    });
+
     it("refuses what it can't read, and says why", async () => {
         expect(await post(platform.port, "/table/read", { keys: [] })).to.include({ status: 400 });
         expect(await post(platform.port, "/table/unknown", {})).to.include({ status: 404 });
--- a/packages/oleandergap-standins/src/platform/platformStandIn.ts
+++ b/packages/oleandergap-standins/src/platform/platformStandIn.ts
@@ -3,11 +3,12 @@
  * platform's limits and, on demand, its faults. The control interface isn't touched by the faults:
  *
  * - `GET /control/counters`, `DELETE /control/counters`: reads them, sets them to zero;
- * - `GET /control/faults`, `PUT /control/faults`: reads the switches, replaces them.
+ * - `GET /control/faults`, `PUT /control/faults`: reads the switches, replaces them;
+ * - `POST /control/copy`, `POST /control/restore`: keeps a copy of all rows and objects, goes back to the last one.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Clock } from "oleandergap-types";
-import { createTableState } from "oleandergap-platform";
+import { createTableState, type TableCopy } from "oleandergap-platform";
 import { createSeededRandom, createSystemClock, createTokenBucket, type Random } from "oleandergap-utils";
 import { closeAbruptly, listen, readJson, readPath, sendJson } from "../http/jsonHttp.js";
 import { createCounterBook, type PlatformStandInCounters } from "./counters.js";
@@ -23,6 +24,12 @@
 } from "./options.js";
 import { serveCall, type CallContext } from "./serveCall.js";
 
+/** All rows and objects at a moment. */
+export interface PlatformCopy {
+    readonly table: TableCopy;
+    readonly objects: ReadonlyMap<string, Uint8Array>;
+}
+
 /** A platform that listens. */
 export interface PlatformStandIn {
     readonly address: string;
@@ -33,6 +40,9 @@
     readonly state: PlatformState;
     readonly counters: () => PlatformStandInCounters;
     readonly resetCounters: () => void;
+    readonly takeCopy: () => PlatformCopy;
+    /** Goes back to a copy: a new era, in which versions are given out again. */
+    readonly restore: (copy: PlatformCopy) => void;
     /** Replaces all switches; what is left out is off. */
     readonly setFaults: (faults: PlatformFaultsInput) => void;
     /** Ends at once and resets every connection. */
@@ -47,6 +57,7 @@
 
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
+const CONFLICT = 409;
 /** Calls that may come at once, as a share of what is allowed in a second. */
 const BURST_SHARE = 0.25;
 /** Idle connections are kept for long, so that the daemons' pools see few closings. */
@@ -54,6 +65,8 @@
 
 interface Platform extends CallContext {
     currentFaults: PlatformFaults;
+    /** The last one kept by the control interface. */
+    copy: PlatformCopy | undefined;
     readonly end: AbortController;
 }
 
@@ -72,11 +85,30 @@
         random: dependencies.random ?? createSeededRandom(options.seed),
         lifetime: end.signal,
         currentFaults: noPlatformFaults,
+        copy: undefined,
         end,
     };
     return platform;
 };
 
+const takeCopy = ({ state }: Platform): PlatformCopy =>
+    ({ table: state.table.takeCopy(), objects: new Map(state.objects) });
+
+const restore = ({ state }: Platform, { table, objects }: PlatformCopy): void => {
+    state.table.restore(table);
+    state.objects.clear();
+    objects.forEach((body, key) => state.objects.set(key, body));
+};
+
+const restoreKept = (platform: Platform, response: ServerResponse): void => {
+    if (platform.copy === undefined) {
+        sendJson(response, { error: "no copy was kept" }, CONFLICT);
+        return;
+    }
+    restore(platform, platform.copy);
+    sendJson(response, { era: platform.state.table.era() });
+};
+
 const serveControl = async (
     platform: Platform,
     request: IncomingMessage,
@@ -94,6 +126,13 @@
             platform.currentFaults = platformFaultsSchema.parse(await readJson(request));
             sendJson(response, platform.currentFaults);
             return;
+        case "POST /control/copy":
+            platform.copy = takeCopy(platform);
+            sendJson(response, { era: platform.state.table.era(), rows: platform.state.table.size() });
+            return;
+        case "POST /control/restore":
+            restoreKept(platform, response);
+            return;
         case "GET /control/faults":
             sendJson(response, platform.currentFaults);
             return;
@@ -154,6 +193,10 @@
         state: platform.state,
         counters: platform.counters.read,
         resetCounters: platform.counters.reset,
+        takeCopy: () => takeCopy(platform),
+        restore: (copy) => {
+            restore(platform, copy);
+        },
         setFaults: (faults) => {
             platform.currentFaults = platformFaultsSchema.parse(faults);
         },
--- a/packages/oleandergap-standins/src/platform/serveCall.ts
+++ b/packages/oleandergap-standins/src/platform/serveCall.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock, Milliseconds } from "oleandergap-types";
 import type { Random, TokenBucket } from "oleandergap-utils";
-import type { PlatformOperation } from "oleandergap-platform";
+import { ERA_HEADER, type PlatformOperation } from "oleandergap-platform";
 import { formatRetryAfter } from "../http/formatRetryAfter.js";
 import { readBody, sendJson } from "../http/jsonHttp.js";
 import { CALLER_HEADER, isWriteOperation, type CounterBook } from "./counters.js";
@@ -82,6 +82,10 @@
     return false;
 };
 
+const nameEra = ({ state }: CallContext, response: ServerResponse): void => {
+    response.setHeader(ERA_HEADER, String(state.table.era()));
+};
+
 const runWithFaults = async (
     context: CallContext,
     caller: string | undefined,
@@ -103,6 +107,8 @@
     }
     counters.add(caller, isWriteOperation(call.operation) ? "writes" : "reads");
     const answer = call.run();
+    // The era of the answer is that of its effect, however late it is sent.
+    nameEra(context, response);
     if (faults.latencyMs > 0) {
         await clock.sleep(faults.latencyMs / 2, lifetime);
     }
@@ -127,6 +133,7 @@
     response: ServerResponse,
 ): Promise<void> => {
     const caller = callerOf(request, entrance);
+    nameEra(context, response);
     const body = await readBody(request);
     const { socket } = request;
     const sentBefore = socket.bytesWritten;
