--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -6,6 +6,7 @@
     ERA_HEADER,
     type EraSource,
     type ObjectStoreClient,
+    type PlatformOptions,
     type TableServiceClient,
 } from "oleandergap-platform";
 import { createConfigurationSource, type ConfigurationSource } from "oleandergap-configuration";
@@ -58,18 +59,24 @@
     readonly createListeners: (context: ListenerContext) => readonly ListenerPlan[];
 }
 
+const isSameServer = (left: PlatformOptions, right: PlatformOptions): boolean =>
+    left.address === right.address && left.port === right.port;
+
 /** The node's own headers, the two services of the platform at the addresses of the settings, no further listeners. */
 export const ownAdapters: NodeAdapters = {
     dialects: ownDialects,
     openPlatform: ({ options, clock, logger, signal }) => {
+        const { tableService: tableOptions, objectStore: objectOptions } = options.platform;
         const followEra = (): EraSource => ({ watch: createEraWatch(logger), header: ERA_HEADER });
-        const shared = { clock, signal };
-        const tableService = createTableServiceClient({
-            ...options.platform.tableService,
-            ...shared,
-            eras: followEra(),
-        });
-        const objectStore = createObjectStoreClient({ ...options.platform.objectStore, ...shared, eras: followEra() });
+        const tableEras = followEra();
+        // What one service hears of a restore, the other needs to know; two stores have eras of their own.
+        const objectEras = isSameServer(tableOptions, objectOptions) ? tableEras : followEra();
+        const tableClient = createTableServiceClient({ ...tableOptions, clock, signal, eras: tableEras });
+        const tableService: TableServiceClient = {
+            ...tableClient,
+            counters: () => ({ ...tableClient.counters(), ...tableEras.watch.counters() }),
+        };
+        const objectStore = createObjectStoreClient({ ...objectOptions, clock, signal, eras: objectEras });
         return { tableService, objectStore, source: createConfigurationSource({ tableService, objectStore }) };
     },
     callerService: undefined,
