--- a/packages/oleandergap-idempotency/src/measure/memoryTable.ts
+++ b/packages/oleandergap-idempotency/src/measure/memoryTable.ts
@@ -6,6 +6,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import {
     isConditionMet,
+    UNTOLD_ERA,
     type Clock,
     type Milliseconds,
     type PlatformError,
@@ -55,8 +56,12 @@
 
     const apply = (operation: TableOperation): void => {
         if (operation.kind === "Put") {
-            const version = (rows.get(operation.key)?.version ?? 0) + 1;
-            rows.set(operation.key, { key: operation.key, version, value: structuredClone(operation.value) });
+            const version = (rows.get(operation.key)?.version.version ?? 0) + 1;
+            rows.set(operation.key, {
+                key: operation.key,
+                version: { era: UNTOLD_ERA, version },
+                value: structuredClone(operation.value),
+            });
             counts.rowWrites += 1;
         }
         else if (operation.kind === "Delete") {
--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -1,6 +1,14 @@
 /** What a node takes from its surroundings, each with the project's own way as the default. */
-import { createObjectStoreClient, createTableServiceClient } from "oleandergap-platform";
-import type { ObjectStoreClient, TableServiceClient } from "oleandergap-platform";
+import {
+    createEraWatch,
+    createObjectStoreClient,
+    createTableServiceClient,
+    ERA_HEADER,
+    type EraSource,
+    type ObjectStoreClient,
+    type PlatformOptions,
+    type TableServiceClient,
+} from "oleandergap-platform";
 import { createConfigurationSource, type ConfigurationSource } from "oleandergap-configuration";
 import type { Clock, ServiceReference } from "oleandergap-types";
 import type { Logger } from "oleandergap-logger";
@@ -51,12 +59,24 @@
     readonly createListeners: (context: ListenerContext) => readonly ListenerPlan[];
 }
 
+const isSameServer = (left: PlatformOptions, right: PlatformOptions): boolean =>
+    left.address === right.address && left.port === right.port;
+
 /** The node's own headers, the two services of the platform at the addresses of the settings, no further listeners. */
 export const ownAdapters: NodeAdapters = {
     dialects: ownDialects,
-    openPlatform: ({ options, clock, signal }) => {
-        const tableService = createTableServiceClient({ ...options.platform.tableService, clock, signal });
-        const objectStore = createObjectStoreClient({ ...options.platform.objectStore, clock, signal });
+    openPlatform: ({ options, clock, logger, signal }) => {
+        const { tableService: tableOptions, objectStore: objectOptions } = options.platform;
+        const followEra = (): EraSource => ({ watch: createEraWatch(logger), header: ERA_HEADER });
+        const tableEras = followEra();
+        // What one service hears of a restore, the other needs to know; two stores have eras of their own.
+        const objectEras = isSameServer(tableOptions, objectOptions) ? tableEras : followEra();
+        const tableClient = createTableServiceClient({ ...tableOptions, clock, signal, eras: tableEras });
+        const tableService: TableServiceClient = {
+            ...tableClient,
+            counters: () => ({ ...tableClient.counters(), ...tableEras.watch.counters() }),
+        };
+        const objectStore = createObjectStoreClient({ ...objectOptions, clock, signal, eras: objectEras });
         return { tableService, objectStore, source: createConfigurationSource({ tableService, objectStore }) };
     },
     callerService: undefined,
--- a/packages/oleandergap-platform/src/classifyExchange.ts
+++ b/packages/oleandergap-platform/src/classifyExchange.ts
@@ -1,7 +1,7 @@
 /** Says what the end of an exchange means for its call: done, surely without effect, or with an unknown outcome. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { PlatformError } from "oleandergap-types";
+import type { PlatformError, StoreEra } from "oleandergap-types";
 import type { ExchangeResult } from "./exchange.js";
 
 /** A write may change something at the platform; a read, scan, get or list never does. */
@@ -13,6 +13,11 @@
     readonly body: Buffer;
 }
 
+/** An answer, and the era that the platform gave it in. */
+export interface DatedAnswer extends PlatformAnswer {
+    readonly era: StoreEra;
+}
+
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
 const STATUS_SERVER_ERROR = 500;
--- a/packages/oleandergap-platform/src/tableState.ts
+++ b/packages/oleandergap-platform/src/tableState.ts
@@ -8,6 +8,8 @@
  */
 import {
     isConditionMet,
+    UNTOLD_ERA,
+    type StoreEra,
     type TableOperation,
     type TableRow,
     type TableScan,
@@ -21,6 +23,17 @@
     /** All conditions are checked against the state before the transaction; then all steps take effect, or none. */
     readonly transact: (operations: readonly TableOperation[]) => TransactionResult;
     readonly size: () => number;
+    readonly takeCopy: () => TableCopy;
+    /** Goes back to a copy, and begins a new era, in which versions are given out again. */
+    readonly restore: (copy: TableCopy) => void;
+    /** The number of restores so far. */
+    readonly era: () => StoreEra;
+}
+
+/** All that a table held at a moment. */
+export interface TableCopy {
+    readonly rows: ReadonlyMap<string, TableRow>;
+    readonly deletedVersions: ReadonlyMap<string, number>;
 }
 
 /** Index of the first of the sorted `keys` that is not below `key`. */
@@ -44,27 +57,29 @@
 
 /** Starts empty. */
 export const createTableState = (): TableState => {
-    const rows = new Map<string, TableRow>();
+    let era: StoreEra = UNTOLD_ERA;
+    let rows = new Map<string, TableRow>();
     /** Last versions of deleted rows; grows by one number for each key that stays deleted. */
-    const deletedVersions = new Map<string, number>();
-    const sortedKeys: string[] = [];
+    let deletedVersions = new Map<string, number>();
+    let sortedKeys: string[] = [];
 
     const put = (key: string, value: unknown): void => {
         const existing = rows.get(key);
-        const version = existing?.version ?? deletedVersions.get(key) ?? 0;
+        const version = existing?.version.version ?? deletedVersions.get(key) ?? 0;
         if (existing === undefined) {
             deletedVersions.delete(key);
             sortedKeys.splice(findPosition(sortedKeys, key), 0, key);
         }
         // The text round trip keeps a caller's later changes to its object out of the table, as a network would.
-        rows.set(key, { key, version: version + 1, value: JSON.parse(JSON.stringify(value)) as unknown });
+        const content = JSON.parse(JSON.stringify(value)) as unknown;
+        rows.set(key, { key, version: { era, version: version + 1 }, value: content });
     };
 
     const remove = (key: string): void => {
         const existing = rows.get(key);
         if (existing !== undefined) {
             rows.delete(key);
-            deletedVersions.set(key, existing.version);
+            deletedVersions.set(key, existing.version.version);
             sortedKeys.splice(findPosition(sortedKeys, key), 1);
         }
     };
@@ -114,5 +129,13 @@
             return { kind: "Committed" };
         },
         size: () => rows.size,
+        takeCopy: () => ({ rows: new Map(rows), deletedVersions: new Map(deletedVersions) }),
+        restore: (copy) => {
+            rows = new Map(copy.rows);
+            deletedVersions = new Map(copy.deletedVersions);
+            sortedKeys = [...rows.keys()].sort();
+            era += 1;
+        },
+        era: () => era,
     };
 };
--- a/packages/oleandergap-platform/src/wire.ts
+++ b/packages/oleandergap-platform/src/wire.ts
@@ -11,10 +11,16 @@
  * | `PUT /objects/<key>` | the bytes | 204 |
  * | `GET /objects?prefix=<prefix>` | | 200 {@link listAnswerSchema} |
  *
+ * Each answer names the era of the store in {@link ERA_HEADER}; a platform without the header is in one era for good.
+ *
  * 503 and 429 say that the call had no effect; so does any other 4xx. Any other 5xx leaves a write's outcome open.
  */
+import { storePositionSchema } from "oleandergap-types";
 import { z } from "zod";
 
+/** In each answer: the era of the platform's store, which rises with each restore from a copy. */
+export const ERA_HEADER = "oleandergap-store-era";
+
 /** Path of a read of single rows. */
 export const TABLE_READ_PATH = "/table/read";
 /** Path of a scan. */
@@ -41,14 +47,14 @@
 
 const tableRowSchema = z.strictObject({
     key: platformKeySchema,
-    version: z.number().int().min(1),
+    version: storePositionSchema,
     value: jsonValueSchema,
 });
 
 const rowConditionSchema = z.discriminatedUnion("kind", [
     z.strictObject({ kind: z.literal("Any") }),
     z.strictObject({ kind: z.literal("Absent") }),
-    z.strictObject({ kind: z.literal("VersionIs"), version: z.number().int().min(1) }),
+    z.strictObject({ kind: z.literal("VersionIs"), version: storePositionSchema }),
 ]);
 
 const tableOperationSchema = z.discriminatedUnion("kind", [
--- a/packages/oleandergap-standins/src/platform/__tests__/platformStandIn.test.ts
+++ b/packages/oleandergap-standins/src/platform/__tests__/platformStandIn.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { request } from "undici";
+import { ERA_HEADER } from "oleandergap-platform";
 import { createManualClock } from "oleandergap-utils";
 import { startPlatformStandIn, type PlatformStandIn } from "../platformStandIn.js";
 
@@ -36,12 +37,12 @@
         const refused = await post(platform.port, "/table/transact", {
             operations: [
                 { kind: "Put", key: "b", condition: { kind: "Any" }, value: 2 },
-                { kind: "Put", key: "a", condition: { kind: "VersionIs", version: 7 }, value: 3 },
+                { kind: "Put", key: "a", condition: { kind: "VersionIs", version: { era: 0, version: 7 } }, value: 3 },
             ],
         });
 
         expect(refused.body).to.deep.equal({ kind: "ConditionFailed", keys: ["a"] });
-        expect(platform.state.table.read(["a", "b"])).to.deep.equal([{ key: "a", version: 1, value: 1 }]);
+        expect(platform.state.table.read(["a", "b"])).to.deep.equal([{ key: "a", version: { era: 0, version: 1 }, value: 1 }]);
     });
 
     it("loses an answer after the write took effect", async () => {
@@ -79,10 +80,28 @@
 
         expect([first.status, second.status, third.status]).to.deep.equal([200, 200, 503]);
         expect(third.retryAfter).to.equal("1");
-        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: 2, value: 2 }]);
+        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: { era: 0, version: 2 }, value: 2 }]);
         expect(await post(platform.port, "/table/read", { keys: ["a"] })).to.include({ status: 200 });
     });
 
+    it("goes back to a copy, names the next era, and gives versions out again", async () => {
+        const readEra = async (): Promise<unknown> => {
+            const answer = await request(`http://127.0.0.1:${platform.port}/table/rows/a`);
+            await answer.body.dump();
+            return answer.headers[ERA_HEADER];
+        };
+        await post(platform.port, "/table/transact", put("a", 1));
+        expect(await readEra()).to.equal("0");
+        expect(await post(platform.port, "/control/restore", {})).to.include({ status: 409 });
+        await post(platform.port, "/control/copy", {});
+        platform.state.table.transact([{ kind: "Put", key: "a", condition: { kind: "Any" }, value: 2 }]);
+        expect(await post(platform.port, "/control/restore", {})).to.deep.include({ status: 200, body: { era: 1 } });
+        expect(await readEra()).to.equal("1");
+        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: { era: 0, version: 1 }, value: 1 }]);
+        await post(platform.port, "/table/transact", put("a", 3));
+        expect(platform.state.table.read(["a"])).to.deep.equal([{ key: "a", version: { era: 1, version: 2 }, value: 3 }]);
+    });
+
     it("refuses what it can't read, and says why", async () => {
         expect(await post(platform.port, "/table/read", { keys: [] })).to.include({ status: 400 });
         expect(await post(platform.port, "/table/unknown", {})).to.include({ status: 404 });
--- a/packages/oleandergap-types/src/platform.ts
+++ b/packages/oleandergap-types/src/platform.ts
@@ -3,6 +3,7 @@
  * times, and may lose an answer after the write took effect.
  */
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
+import { isSamePosition, type StoreEra, type StorePosition } from "./storePosition.js";
 
 /** Why a call to the platform gave no result. */
 export type PlatformError =
@@ -13,15 +14,27 @@
     /** This process's own budget of calls is used up; nothing was sent. */
     | { readonly kind: "OverBudget"; readonly retryAfterMs: number };
 
+/**
+ * Names one write of a row; handed back in conditions as it was read. An adapter must guarantee that no two writes of a
+ * key are taken for one, also when the row is deleted and created anew, or when the store is restored and gives its
+ * versions out again: otherwise a delayed write with a `VersionIs` condition could replace a row that its sender never
+ * read (the ABA problem).
+ */
+export interface RowVersion extends StorePosition {
+    /** Unique to the write, where the position is not. */
+    readonly writeId?: string | undefined;
+}
+
+/** Whether two versions of one key name the same write. */
+export const isSameWrite = (left: RowVersion, right: RowVersion): boolean =>
+    left.writeId === undefined && right.writeId === undefined ?
+        isSamePosition(left, right) :
+        left.writeId === right.writeId;
+
 /** A row as read. */
 export interface TableRow {
     readonly key: string;
-    /**
-     * Counts the writes to the key over the table's whole life, from 1. A platform must guarantee that no version of a
-     * key ever repeats, also when the row is deleted and created anew: otherwise a delayed write with a `VersionIs`
-     * condition could replace a row that its sender never read.
-     */
-    readonly version: number;
+    readonly version: RowVersion;
     /** A JSON value; its reader checks it against a schema. */
     readonly value: unknown;
 }
@@ -30,7 +43,7 @@
 export type RowCondition =
     | { readonly kind: "Any" }
     | { readonly kind: "Absent" }
-    | { readonly kind: "VersionIs"; readonly version: number };
+    | { readonly kind: "VersionIs"; readonly version: RowVersion };
 
 /** Whether a condition holds for a row as it is; undefined when there is none. */
 export const isConditionMet = (condition: RowCondition, row: Pick<TableRow, "version"> | undefined): boolean => {
@@ -40,7 +53,7 @@
         case "Absent":
             return row === undefined;
         case "VersionIs":
-            return row?.version === condition.version;
+            return row !== undefined && isSameWrite(row.version, condition.version);
     }
 };
 
@@ -83,4 +96,9 @@
     /** Replaces the object whole. */
     readonly put: (key: string, body: Uint8Array, signal: AbortSignal) => TaskEither<PlatformError, void>;
     readonly list: (prefix: string, signal: AbortSignal) => TaskEither<PlatformError, readonly string[]>;
+    /**
+     * The newest era seen in the store's answers, undefined before the first. A higher one than before says that
+     * objects that were put may be gone. Absent where the store keeps what it has acknowledged.
+     */
+    readonly era?: () => StoreEra | undefined;
 }
