Failing test: silent contacts of a zone are waited for one after the other while another one would answer

A fetch has 1.5 s, each silent contact takes 1 s of it; with two silent ones first the third is never asked. Nobody tells the contact book of them either: reportSilent has no caller. Callers see requests sent by old lists of another zone's targets (refused, or lost) for one more period each time. Fails with: expected Left ZoneUnreachable to deeply equal Right.

--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/zoneFetcher.test.ts
@@ -0,0 +1,33 @@
+import { expect } from "chai";
+import * as either from "fp-ts/lib/Either.js";
+import { defaultDistributionOptions, type PeerDirectoryPort } from "oleandergap-distribution";
+import type { Contact } from "oleandergap-membership";
+import { createManualClock, startTimeLimit } from "oleandergap-utils";
+import { createZoneFetcher } from "../control/zoneFetcher.js";
+
+const { timeoutMs } = defaultDistributionOptions.peer;
+/** Time that a target directory gives one fetch by default. */
+const FETCH_TIMEOUT_MS = 1500;
+const ANSWER = { services: [] };
+
+const createContact = (id: string): Contact => ({ id, zone: "zone-1", address: "127.0.0.1", controlPort: 1024 });
+
+describe("createZoneFetcher", () => {
+    // Guards against silent contacts that are waited for one after the other while another one would answer.
+    it("has another zone's targets in time although two contacts are silent", async () => {
+        const clock = createManualClock();
+        const zoneTargets: PeerDirectoryPort["zoneTargets"] = ({ id }, _request, signal) => async () => {
+            if (id === "quick" && !signal.aborted) {
+                return either.right(ANSWER);
+            }
+            await clock.sleep(timeoutMs, signal);
+            return either.left({ kind: "Cancelled" });
+        };
+        const contacts = ["silent-1", "silent-2", "quick"].map(createContact);
+        const fetch = createZoneFetcher({ clock, contactsOf: () => contacts, peers: { zoneTargets } });
+        const limit = startTimeLimit(clock, FETCH_TIMEOUT_MS);
+        const answer = fetch("zone-1", { zone: "zone-1", services: [] }, limit.signal)();
+        await clock.advance(FETCH_TIMEOUT_MS);
+        expect(await answer).to.deep.equal(either.right(ANSWER));
+    });
+});
