The test of a planned stop waits until all its requests run

In a whole suite beside five other processes it failed once: four of twelve requests were refused as Draining, with a true verdict. The log of the node tells why: they were the first of their connections and were read 2 to 4 ms after the signal, so that they were not under way when the node was told to stop. The test waited for three requests to run; it waits for all twelve now. Its check, that each of them is answered, is as it was.

--- a/packages/oleandergap-demo/src/__tests__/fleetRequests.test.ts
+++ b/packages/oleandergap-demo/src/__tests__/fleetRequests.test.ts
@@ -168,6 +168,8 @@
         const calls = runKeys.map((runKey, index) =>
             caller.call(findGateway(fleet, index % 2 === 0 ? stopping : OUTSIDE), createRead(SERVICE, runKey)));
         await waitUntil(fleet, "requests run at the node", async () => await countInFlight(stopping) > 2);
+        await waitUntil(fleet, "all requests run", async () =>
+            (await Promise.all(runKeys.map(countRuns))).every((runs) => runs > 0));
         const exit = fleet.node(stopping).stop();
         await waitUntil(fleet, "the node says that it stops", async () =>
             await fleet.node(stopping).readUnreadiness() !== undefined);
