--- a/packages/oleandergap-demo/src/__tests__/fleetVersions.test.ts
+++ b/packages/oleandergap-demo/src/__tests__/fleetVersions.test.ts
@@ -128,6 +128,33 @@
         }
     }).timeout(TIME_LIMIT);
 
+    it("goes back nowhere when the platform is restored from a copy, and goes on past the version that was lost", async () => {
+        const all = [...halloway, ...kushiro];
+        const [entry = ""] = halloway;
+        const accept = (value: number): Promise<Sequence> => {
+            const edits = [{ cell: weightCell("halloway"), value }];
+            return acceptChange(fleet, "halloway", { changeId: `restored-${value}`, edits }, entry);
+        };
+        const kept = await accept(61);
+        await waitUntilInForce(fleet, "halloway", kept, all);
+        await fleet.platform.keepCopy();
+        const lost = await accept(62);
+        await waitUntilInForce(fleet, "halloway", lost, all);
+        await fleet.platform.setFaults({ outage: "reset" });
+        await fleet.platform.restore();
+        await fleet.platform.setFaults({});
+        const afterRestore = await observeUntil("halloway", lost, all);
+
+        const givenAgain = await accept(63);
+        const next = await accept(64);
+        const atLast = await observeUntil("halloway", next, all);
+        expect([givenAgain, next]).to.deep.equal([lost, lost + 1]);
+        for (const nodeId of all) {
+            const versions = [lost, ...afterRestore.get(nodeId) ?? [], ...atLast.get(nodeId) ?? []];
+            expect(isSorted(versions), `${nodeId}: ${versions.join()}`).to.equal(true);
+        }
+    }).timeout(TIME_LIMIT);
+
     it("restarts many nodes at once from their peers in each of two outages, even when a restart is killed again", async () => {
         // Symptom: restarted nodes stay not ready, or serve from a version older than the fleet's.
         // Sequence: both partners' versions are accepted, the platform goes down, half of the nodes die and restart,
--- a/packages/oleandergap-demo/src/fleet/standInControl.ts
+++ b/packages/oleandergap-demo/src/fleet/standInControl.ts
@@ -13,6 +13,10 @@
     readonly setFaults: (faults: PlatformFaultsInput) => Promise<void>;
     readonly counters: () => Promise<PlatformStandInCounters>;
     readonly resetCounters: () => Promise<void>;
+    /** Keeps what the platform holds now. */
+    readonly keepCopy: () => Promise<void>;
+    /** Goes back to what was kept last, in a new era. */
+    readonly restore: () => Promise<void>;
 }
 
 /** The target stand-ins' switches and logs. Calls reject for an unknown id. */
@@ -47,6 +51,12 @@
     resetCounters: async () => {
         await call("DELETE", `${origin}/control/counters`);
     },
+    keepCopy: async () => {
+        await call("POST", `${origin}/control/copy`);
+    },
+    restore: async () => {
+        await call("POST", `${origin}/control/restore`);
+    },
 });
 
 /** `origin` as in `http://127.20.0.1:41000`. */
