--- a/packages/oleandergap-distribution/src/options.ts
+++ b/packages/oleandergap-distribution/src/options.ts
@@ -23,7 +23,7 @@
 const pullOptionsSchema = z.strictObject({
     /** Time that a short question to a peer may take. */
     timeoutMs: milliseconds(50, 60_000).default(1_000),
-    /** Time that one pull may take before another peer is tried, if the peer's answer keeps arriving. */
+    /** Longest time of one question to a peer whose answer keeps arriving; others are asked meanwhile. */
     longestMs: milliseconds(50, 60_000).default(10_000),
     /** Time after which another source is asked too, if none has delivered; several times what an answer takes. */
     answerPatienceMs: milliseconds(10, 60_000).default(300),
@@ -35,7 +35,7 @@
     backoffBaseMs: milliseconds(1, 10_000).default(50),
     /** A version is to be in force within seconds, and a peer that was out of reach may be back at any moment. */
     backoffMaximumMs: milliseconds(10, 600_000).default(500),
-    /** Failed pulls from one who claims a head after which this claim is dropped. */
+    /** Failed questions to one who claims a head after which this claim may be dropped; see `keepUnansweredMs`. */
     attemptsPerHead: z.number().int().min(1).max(20).default(3),
     /** Time for which a claim is kept although its holder does not answer; others are asked meanwhile. */
     keepUnansweredMs: milliseconds(0, 600_000).default(5_000),
--- a/packages/oleandergap-distribution/src/recovery.ts
+++ b/packages/oleandergap-distribution/src/recovery.ts
@@ -50,7 +50,7 @@
 type RoundOutcome =
     | RecoveryOutcome
     /** The versions that were named have arrived, too late to be taken for the newest. */
-    | { readonly kind: "Overtaken" };
+    | { readonly kind: "TookLong" };
 
 /** Distance between two looks at whether the versions have arrived. */
 const ARRIVAL_CHECK_MS = 100;
@@ -121,7 +121,7 @@
 
     let longRounds = 0;
     /** Counts the rounds in a row that took too long; true when this one has to be followed by another. */
-    const isOvertaken = (namedAt: Milliseconds): boolean => {
+    const noteRoundTime = (namedAt: Milliseconds): boolean => {
         longRounds = clock.monotonic() - namedAt > LONGEST_ROUND_MS ? longRounds + 1 : 0;
         return longRounds > 0 && longRounds < MOST_LONG_ROUNDS;
     };
@@ -147,7 +147,7 @@
                 return { kind: "Aborted" };
             }
             if (!lacksVersion(heads)) {
-                return isOvertaken(namedAt) ? { kind: "Overtaken" } : { kind: "Recovered", source };
+                return noteRoundTime(namedAt) ? { kind: "TookLong" } : { kind: "Recovered", source };
             }
         }
         return undefined;
@@ -155,7 +155,7 @@
 
     for (let round = 0; !signal.aborted; round++) {
         const outcome = await runRound();
-        if (outcome?.kind === "Overtaken") {
+        if (outcome?.kind === "TookLong") {
             dependencies.logger.info("the versions took long to arrive; asking for newer ones", { round });
             continue;
         }
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -35,7 +35,7 @@
 type Outcome = Either<RequestFailure, Answer>;
 
 /** A target that is silent for so many times what is unusual does not answer on that connection any more. */
-const LOSS_FACTOR = 2;
+const SILENCES_OF_A_LOSS = 2;
 
 const refuseWithoutTarget: RequestFailure = {
     kind: "Refused",
@@ -113,7 +113,7 @@
             signal: request.signal,
             idempotent: request.idempotent,
             silenceMs,
-            lossMs: silenceMs && silenceMs * LOSS_FACTOR,
+            lossMs: silenceMs && silenceMs * SILENCES_OF_A_LOSS,
             takeDispatcher: () => pools.take(address, port, connections),
             renewConnections: () => pools.renew(address, port),
             nextRequestId: () => {
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -67,7 +67,7 @@
 /** A probe of a target that is likely dead goes elsewhere earlier: to take it for dead in error costs little. */
 const PROBE_SILENCE_PART = 0.5;
 /** A gate that is silent for so many times the usual patience is taken for gone, also by a probe. */
-const LOSS_FACTOR = 2;
+const SILENCES_OF_A_LOSS = 2;
 
 const readGateAnswer = (answer: Answer): GateOutcome => {
     const load = parseLoad(readAnswerHeader(answer.headers, LOAD_HEADER));
@@ -176,7 +176,7 @@
             signal,
             idempotent: request.idempotent,
             silenceMs: dependencies.gateSilenceMs * (progress.isProbe ? PROBE_SILENCE_PART : 1),
-            lossMs: dependencies.gateSilenceMs * LOSS_FACTOR,
+            lossMs: dependencies.gateSilenceMs * SILENCES_OF_A_LOSS,
             takeDispatcher: () => pools.take(target.address, target.gatePort, dependencies.connectionsPerNode),
             renewConnections: () => pools.renew(target.address, target.gatePort),
             nextRequestId: dependencies.nextAttemptId,
--- a/packages/oleandergap-node/src/http/watchedExchange.ts
+++ b/packages/oleandergap-node/src/http/watchedExchange.ts
@@ -203,7 +203,7 @@
     }
 };
 
-/** The outcome of a try that is silent and goes on. */
+/** Hands what goes on to whoever sends the request elsewhere, and awaits or cancels it. */
 const leaveOpen = (open: OpenTry): WatchedOutcome => ({
     outcome: either.left({ kind: "AnswerLost", verdict: "mayHaveRun", detail: DETAILS.Silent }),
     open,
@@ -226,6 +226,7 @@
     return hasRun ? later : earlier;
 };
 
+/** Both tries as one, for an owner that cancels or awaits them together. */
 const joinTries = (first: OpenTry, second: OpenTry, request: WatchedRequest): OpenTry => ({
     outcome: takeAnswer(first, second, request),
     cancel: () => {
