A change is numbered above the version in force at the node that accepts it

What operators saw: after a restore of the platform from a copy, an accepted change was in force at no node that held the version that was lost, until the change after it: it had been given the lost version's number, and nodes refuse a number that they have seen for other contents.

Cause: the next number followed from the platform's head alone, which the restore had taken back.

Change: the number is above both the platform's and the one in force here; a step already names the version that it starts from, so that numbers may be left out.

--- a/packages/oleandergap-configuration/src/__tests__/changeService.test.ts
+++ b/packages/oleandergap-configuration/src/__tests__/changeService.test.ts
@@ -52,6 +52,18 @@
         expect(readChain(platform, "halloway").document.cells).to.include({ [EAST]: 5, [vault.cell]: 8 });
     });
 
+    // Guards against a number that nodes have seen for other contents, and refuse, after a restore of the platform.
+    it("numbers a version above the one in force where the platform is behind", async () => {
+        const platform = createTestPlatform();
+        await fillTable(platform, "halloway");
+        const copy = readChain(platform, "halloway").document;
+        const node = createNode(platform, { findDocument: () => ({ ...copy, sequence: copy.sequence + 4 }) });
+        getAccepted(await node.accept(createRequest("halloway", "change-a", setEast(5)), neverAborted)());
+        const { document } = readChain(platform, "halloway");
+        expect(document.sequence).to.equal(copy.sequence + 5);
+        expect(document.cells).to.include({ [EAST]: 5 });
+    });
+
     it("refuses an invalid table and writes nothing, and validates without writing", async () => {
         const platform = createTestPlatform();
         await fillTable(platform, "halloway");
--- a/packages/oleandergap-configuration/src/change/acceptance.ts
+++ b/packages/oleandergap-configuration/src/change/acceptance.ts
@@ -25,7 +25,7 @@
 import type { ChangeOutcome, ChangeRequest } from "./changeRequest.js";
 import { buildAcceptance, buildUnchanged, readChangeState, type ChangeState } from "./changeRows.js";
 import { createChangeTransaction } from "./changeTransaction.js";
-import type { DocumentLoader } from "./documentLoader.js";
+import type { DocumentLoader, FindDocument } from "./documentLoader.js";
 import type { ChangeOptions } from "./options.js";
 import { createOutcomeReader, type ChangeResult } from "./outcomeReader.js";
 import { planChange, resolveEdits } from "./planChange.js";
@@ -37,6 +37,8 @@
     readonly tableService: TableService;
     readonly objectStore: ObjectStore;
     readonly documents: DocumentLoader;
+    /** The version in force at this node, if it has any. */
+    readonly findDocument: FindDocument;
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: Logger;
@@ -55,6 +57,7 @@
     tableService,
     objectStore,
     documents,
+    findDocument,
     clock,
     random,
     logger,
@@ -111,7 +114,7 @@
             return failCall(progress, toReadError(document.left));
         }
         progress.edits ??= resolveEdits(document.right, edits);
-        const plan = planChange(document.right, progress.edits);
+        const plan = planChange(document.right, progress.edits, findDocument(partner)?.sequence);
         if (either.isLeft(plan)) {
             return endChange(await conclude(request, progress.openHeadVersions, plan.left, signal));
         }
--- a/packages/oleandergap-configuration/src/change/changeService.ts
+++ b/packages/oleandergap-configuration/src/change/changeService.ts
@@ -70,7 +70,9 @@
     const documents = createDocumentLoader(source, findDocument);
     const budget = createChangeBudget(clock, options);
     const queues = createPartnerQueues(clock, options.maximumWaiting);
-    const acceptChange = createAcceptance({ tableService, objectStore, documents, clock, random, logger, options });
+    const acceptChange = createAcceptance({
+        tableService, objectStore, documents, findDocument, clock, random, logger, options,
+    });
 
     /** The checked request, taken from its partner's budget. */
     const admit = (request: ChangeRequest): Either<ChangeError, ChangeRequest> => {
--- a/packages/oleandergap-configuration/src/change/planChange.ts
+++ b/packages/oleandergap-configuration/src/change/planChange.ts
@@ -1,7 +1,7 @@
 /** Decides what a change does to a version: which cells it changes, or why it is refused. Pure. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { CellAddress, CellChange, CellValue, PartnerDocument } from "oleandergap-types";
+import type { CellAddress, CellChange, CellValue, PartnerDocument, Sequence } from "oleandergap-types";
 import { getNextTable } from "../table/knownTables.js";
 import { createNextVersion, type NextVersion } from "../version/delta.js";
 import { getDocumentHead, getRowIndex } from "../version/document.js";
@@ -58,10 +58,14 @@
     };
 };
 
-/** The version after the change; undefined when the change alters nothing. */
+/**
+ * The version after the change; undefined when the change alters nothing. Its number is above `inForce` as well: a
+ * platform that was restored from a copy is behind the nodes, which would refuse a number that they have seen.
+ */
 export const planChange = (
     document: PartnerDocument,
     edits: readonly ResolvedEdit[],
+    inForce: Sequence = document.sequence,
 ): Either<ChangeError, NextVersion | undefined> => {
     const base = getDocumentHead(document);
     const conflicts = edits.flatMap((edit) => findConflict(document, edit));
@@ -72,7 +76,7 @@
     if (changes.length === 0) {
         return either.right(undefined);
     }
-    const next = createNextVersion(document, changes);
+    const next = createNextVersion(document, changes, Math.max(document.sequence, inForce) + 1);
     const growth = checkGrowth(getRowIndex(document), getRowIndex(next.document));
     if (growth.length > 0) {
         return either.left({ kind: "Invalid", base, problems: growth });
