--- a/packages/oleandergap-demo/src/check/runCheck.ts
+++ b/packages/oleandergap-demo/src/check/runCheck.ts
@@ -9,6 +9,7 @@
 import type { CheckContext } from "./checkContext.js";
 import { drainOneTarget } from "./drainTarget.js";
 import { followChanges } from "./followChange.js";
+import { restorePlatform } from "./restorePlatform.js";
 import { serveEveryService } from "./serveServices.js";
 
 /** What to check, and who hears of it. */
@@ -35,6 +36,7 @@
     await serveEveryService(context);
     await followChanges(context);
     await serveEveryService(context);
+    await restorePlatform(context);
     await drainOneTarget(context);
     return reportUsage(context);
 };
--- a/packages/oleandergap-demo/src/report/describeFleet.ts
+++ b/packages/oleandergap-demo/src/report/describeFleet.ts
@@ -34,12 +34,16 @@
     if (vm === undefined || partner === undefined || service === undefined) {
         return [];
     }
+    const platform = `http://${plan.platform.address}:${plan.ports.platform}/control`;
     const access = formatAccessOptions(fleet, partner.partner, vm.id).join(" ");
     return [
         "A request, as a caller sends it:",
         `  curl -i -H 'Host: ${service.service}.${partner.partner}' http://${vm.address}:${plan.ports.gateway}/`,
         "The table, as an operator sees it:",
         `  node packages/oleandergap-cli/lib/main.js ${access} get`,
+        "A platform that comes back from an older copy; change something between the two:",
+        `  curl -X POST ${platform}/copy`,
+        `  curl -X POST ${platform}/restore`,
     ];
 };
 
