--- a/packages/oleandergap-distribution/src/__tests__/unreadAnswers.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/unreadAnswers.test.ts
@@ -2,45 +2,16 @@
 import type { AddressInfo } from "node:net";
 import { expect } from "chai";
 import * as either from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds } from "oleandergap-types";
+import { createManualClock } from "oleandergap-utils";
 import { defaultDistributionOptions } from "../options.js";
 import { exchangeWithPeer } from "../peerTransport.js";
 
 const { timeoutMs } = defaultDistributionOptions.peer;
 
-interface BlockedClock extends Clock {
-    /** Lets time pass while the process stands still, and runs timers before anything that has arrived is read. */
-    readonly block: (duration: Milliseconds) => void;
-}
-
-const createBlockedClock = (): BlockedClock => {
-    let time = 0;
-    const timers = new Set<{ readonly due: Milliseconds; readonly callback: () => void }>();
-    return {
-        now: () => time,
-        monotonic: () => time,
-        after: (delay, callback) => {
-            const timer = { due: time + delay, callback };
-            timers.add(timer);
-            return () => {
-                timers.delete(timer);
-            };
-        },
-        sleep: () => Promise.resolve(),
-        block: (duration) => {
-            time += duration;
-            for (const timer of [...timers].filter(({ due }) => due <= time)) {
-                timers.delete(timer);
-                timer.callback();
-            }
-        },
-    };
-};
-
 describe("a node that was behind with its events", () => {
     // Guards against an own delay that is taken for a peer's silence, and its answer given up unread.
     it("reads a peer's answer that has arrived before it takes the peer for silent", async () => {
-        const clock = createBlockedClock();
+        const clock = createManualClock();
         const agent = new Agent();
         let tellAsked: (response: ServerResponse) => void = () => undefined;
         const asked = new Promise<ServerResponse>((resolve) => {
--- a/packages/oleandergap-node/src/__tests__/unreadSigns.test.ts
+++ b/packages/oleandergap-node/src/__tests__/unreadSigns.test.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from "node:http";
 import { expect } from "chai";
-import type { Clock, Milliseconds } from "oleandergap-types";
+import { createManualClock, type ManualClock } from "oleandergap-utils";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
 import { call, createCleanup, startTarget, until, type Received } from "./support.js";
 
@@ -9,47 +9,13 @@
 /** Turns in which another try would arrive. */
 const TURNS = 100;
 
-interface Timer {
-    readonly due: Milliseconds;
-    readonly callback: () => void;
-}
-
-interface BlockedClock extends Clock {
-    /** Lets time pass while the process stands still, and runs timers before anything that has arrived is read. */
-    readonly block: (duration: Milliseconds) => void;
-}
-
-const createBlockedClock = (): BlockedClock => {
-    let time = 0;
-    const timers = new Set<Timer>();
-    return {
-        now: () => time,
-        monotonic: () => time,
-        after: (delay, callback) => {
-            const timer = { due: time + delay, callback };
-            timers.add(timer);
-            return () => {
-                timers.delete(timer);
-            };
-        },
-        sleep: () => Promise.resolve(),
-        block: (duration) => {
-            time += duration;
-            for (const timer of [...timers].filter(({ due }) => due <= time)) {
-                timers.delete(timer);
-                timer.callback();
-            }
-        },
-    };
-};
-
 describe("a gateway that was behind with its events", () => {
     const cleanup = createCleanup();
 
     afterEach(() => cleanup.run());
 
     interface Scene {
-        readonly clock: BlockedClock;
+        readonly clock: ManualClock;
         readonly tries: readonly ServerResponse[];
         readonly answer: Promise<Received>;
     }
@@ -62,7 +28,7 @@
             response.setHeader("oleandergap-verdict", "ran");
             tries.push(response);
         });
-        const clock = createBlockedClock();
+        const clock = createManualClock();
         const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", port)] });
         const answer = call({ port: gateway.port, headers: { host: HOST, "oleandergap-timeout-ms": String(TIMEOUT_MS) } });
         await until(() => tries.length === 1);
--- a/packages/oleandergap-utils/src/manualClock.ts
+++ b/packages/oleandergap-utils/src/manualClock.ts
@@ -14,6 +14,11 @@
     readonly advance: (duration: Milliseconds) => Promise<void>;
     /** Moves the time without running timers, as when a process is frozen; overdue timers run at the next advance. */
     readonly freeze: (duration: Milliseconds) => void;
+    /**
+     * Moves the time as when a process stands still, and runs the timers that fell due before anything that has arrived
+     * meanwhile is read.
+     */
+    readonly block: (duration: Milliseconds) => void;
     /** Number of timers that are waiting. */
     readonly pendingTimers: () => number;
 }
@@ -66,6 +71,15 @@
         time = end;
     };
 
+    const block = (duration: Milliseconds): void => {
+        time += duration;
+        const overdue = [...timers].filter(({ due }) => due <= time);
+        for (const timer of overdue.sort((left, right) => isBefore(left, right) ? -1 : 1)) {
+            timers.delete(timer);
+            timer.callback();
+        }
+    };
+
     return {
         now: () => time,
         monotonic: () => time,
@@ -75,6 +89,7 @@
         freeze: (duration) => {
             time += duration;
         },
+        block,
         pendingTimers: () => timers.size,
     };
 };
