The watch over an exchange uses the shared timer that reads before it is late

Change: it arms afterReading and keeps no flag and no check of its own; behaviour and tests are as they were.

--- a/packages/oleandergap-node/src/http/progressWatch.ts
+++ b/packages/oleandergap-node/src/http/progressWatch.ts
@@ -1,6 +1,6 @@
 /** One timer that watches over an exchange: its deadline, and how long it has been silent. */
 import type { CancelTimer, Clock, Milliseconds } from "oleandergap-types";
-import { waitTurns } from "oleandergap-utils";
+import { afterReading } from "oleandergap-utils";
 
 export interface ProgressWatchOptions {
     readonly clock: Clock;
@@ -25,28 +25,22 @@
 /**
  * Watches until it is stopped. A sign only notes its time; the timer looks at it when it fires, so that signs cost
  * nothing and an exchange needs one timer.
- *
- * Timers run before what has arrived is read. A process that stood still would take every silence for one of the other
- * side, although the signs lie there unread; a late timer therefore lets them be read first.
+ * A late timer lets signs that lie there unread be read first.
  */
 export const startProgressWatch = (options: ProgressWatchOptions): ProgressWatch => {
     const { clock, deadline, silenceMs, onDeadline, onSilence } = options;
     /** Time of the last sign, or of the last silence that was told. */
     let countsFrom = clock.monotonic();
-    let isStopped = false;
     let cancel: CancelTimer = () => undefined;
 
     const silenceEnd = (): Milliseconds =>
         silenceMs === undefined ? Number.POSITIVE_INFINITY : countsFrom + silenceMs;
 
     const arm = (now: Milliseconds): void => {
-        cancel = clock.after(Math.max(0, Math.min(deadline, silenceEnd()) - now), check);
+        cancel = afterReading(clock, Math.max(0, Math.min(deadline, silenceEnd()) - now), tell);
     };
 
     const tell = (): void => {
-        if (isStopped) {
-            return;
-        }
         const now = clock.monotonic();
         if (now >= deadline) {
             onDeadline();
@@ -60,22 +54,11 @@
         arm(now);
     };
 
-    const check = (): void => {
-        if (clock.monotonic() > Math.min(deadline, silenceEnd())) {
-            void waitTurns().then(tell);
-            return;
-        }
-        tell();
-    };
-
     arm(countsFrom);
     return {
         heard: () => {
             countsFrom = clock.monotonic();
         },
-        stop: () => {
-            isStopped = true;
-            cancel();
-        },
+        stop: () => cancel(),
     };
 };
