Log lines name what was asked, and runs that were lost

Of a large upload at least 1 KiB is kept, so that all nodes name it alike, whatever the pieces in which it arrives. Computed only for lines that are written. No decision is changed.

--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -14,6 +14,7 @@
 import { createClaims, type Claims } from "./createClaims.js";
 import { createGateHandler } from "./gateHandler.js";
 import type { ServeAtGate } from "./gateRequest.js";
+import { createLostRunLog } from "./lostRunLog.js";
 import { createServeAtGate } from "./serveAtGate.js";
 import type { UnservedCalls } from "./unservedCalls.js";
 
@@ -109,6 +110,7 @@
         minSilenceMs: requests.targetSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
         explainFailure,
+        logLostRun: createLostRunLog(clock, createPartLogger("gate")),
         catchUp,
     }));
     const handleGate = createGateHandler({
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -71,10 +71,26 @@
     deadline: Milliseconds;
     /** Known once the request's head was read. */
     caller: CallerRequest | undefined;
+    /** Known once as much of it was received as is kept. */
+    body: RequestBody | undefined;
     /** A hop below has retried. */
     isRetried: boolean;
 }
 
+const startPassage = (
+    { clock, dialect, callerAt }: GatewayHandlerDependencies,
+    arrived: Pick<Passage, "request" | "response" | "arrival">,
+): Passage => ({
+    ...arrived,
+    startedAt: clock.monotonic(),
+    requestId: dialect.readRequestId(arrived.request),
+    callingService: callerAt(arrived.request.socket.remoteAddress),
+    deadline: Number.POSITIVE_INFINITY,
+    caller: undefined,
+    body: undefined,
+    isRetried: false,
+});
+
 /** Timers may fire this much before their time. */
 const TIMER_TOLERANCE_MS = 2;
 
@@ -102,6 +118,7 @@
         dependencies.logFailure({
             id: passage.requestId,
             caller: passage.caller,
+            body: passage.body,
             failure,
             retryAfterMs,
             isFirst: passage.arrival.isFirst,
@@ -177,6 +194,7 @@
             refuse(passage, toRequestFailure(body.left));
             return;
         }
+        passage.body = body.right;
         // A connection that was used before may have brought the request and its end together; the end is read a turn
         // later. Handed on at once by a node that was behind, the request would run for a caller who left long ago.
         const caughtUp = dependencies.catchUp?.();
@@ -187,17 +205,7 @@
     };
 
     return (request: IncomingMessage, response: ServerResponse, arrival: RequestArrival): void => {
-        const passage: Passage = {
-            request,
-            response,
-            arrival,
-            startedAt: clock.monotonic(),
-            requestId: dialect.readRequestId(request),
-            callingService: dependencies.callerAt(request.socket.remoteAddress),
-            deadline: Number.POSITIVE_INFINITY,
-            caller: undefined,
-            isRetried: false,
-        };
+        const passage = startPassage(dependencies, { request, response, arrival });
         handle(passage).catch((error: unknown) => {
             dependencies.logger.error("A request failed unexpectedly.", { detail: String(error) });
             response.destroy();
--- a/packages/oleandergap-node/src/gateway/requestLog.ts
+++ b/packages/oleandergap-node/src/gateway/requestLog.ts
@@ -8,6 +8,8 @@
 import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
 import { createTokenBucket } from "oleandergap-utils";
 import { reasonOfFailure } from "../http/refusal.js";
+import type { RequestBody } from "../http/requestBody.js";
+import { fingerprintRequest } from "../http/requestFingerprint.js";
 import type { CallerRequest } from "./callerRequest.js";
 
 /** A request that was not answered by a target. */
@@ -16,6 +18,8 @@
     readonly id: string | undefined;
     /** Undefined when its head was refused. */
     readonly caller: CallerRequest | undefined;
+    /** Undefined when its head or its body was refused. */
+    readonly body: RequestBody | undefined;
     readonly failure: RequestFailure;
     readonly retryAfterMs: Milliseconds | undefined;
     /** The first request of its connection. */
@@ -46,9 +50,10 @@
     .join(" ");
 
 const describe = ({
-    id, caller, failure, retryAfterMs, isFirst, queuedMs, durationMs, leftMs, tried,
+    id, caller, body, failure, retryAfterMs, isFirst, queuedMs, durationMs, leftMs, tried,
 }: FailedRequest): LogContext => ({
     id,
+    fingerprint: caller && body && fingerprintRequest(caller, body),
     route: caller?.kind,
     service: caller?.service.service,
     version: caller?.table.head.sequence,
--- a/packages/oleandergap-node/src/http/requestBody.ts
+++ b/packages/oleandergap-node/src/http/requestBody.ts
@@ -9,6 +9,8 @@
 
 /** Bytes of a request that are kept in order to send it again. */
 export const REPLAY_BYTES = 64 * 1024;
+/** Bytes that are kept at least of a body that is larger; its name is computed from so many, at each node. */
+export const LEAST_KEPT_BYTES = 1024;
 
 export type RequestBody =
     | { readonly kind: "Empty" }
@@ -17,7 +19,7 @@
 
 export interface StreamingBody {
     readonly kind: "Streaming";
-    /** The beginning, which is kept. Never empty. */
+    /** The beginning, which is kept. At least `LEAST_KEPT_BYTES`. */
     readonly prefix: Buffer;
     /** Size of the whole, when the caller told it. */
     readonly length: number | undefined;
@@ -121,8 +123,8 @@
     length: number | undefined,
     maxBytes: number,
 ): Promise<Either<BodyProblem, RequestBody>> => {
-    // Of a body that is known to be large, one piece is enough to begin with.
-    const wanted = length === undefined || length <= REPLAY_BYTES ? REPLAY_BYTES : 0;
+    // Of a body that is known to be large, a piece is enough to begin with.
+    const wanted = length === undefined || length <= REPLAY_BYTES ? REPLAY_BYTES : LEAST_KEPT_BYTES - 1;
     const chunks = iterateChunks(request);
     const collected: Buffer[] = [];
     let total = 0;
