--- a/packages/oleandergap-demo/src/plan/deployments.ts
+++ b/packages/oleandergap-demo/src/plan/deployments.ts
@@ -93,3 +93,9 @@
         { ...halloway, zones: ["hall-a", "hall-b"], workers: [{ service: "wills-desk", count: 2, limit: "reading" }] },
         { ...kushiro, zones: ["sapporo"], workers: [{ service: "checklist", count: 1, limit: "reading" }] },
     ], portBase);
+
+/** One service of the first partner in its three availability zones, one VM for each target. */
+export const createOneServicePlan = (targets: number, portBase?: number): FleetPlan =>
+    createDeploymentPlan([
+        { ...halloway, workers: [{ service: "wills-desk", count: targets, limit: "reading" }] },
+    ], portBase);
--- a/packages/oleandergap-standins/src/target/__tests__/targetStandIn.test.ts
+++ b/packages/oleandergap-standins/src/target/__tests__/targetStandIn.test.ts
@@ -126,6 +126,23 @@
         await agent.destroy();
         expect(await silent).to.equal("gave up");
     });
+
+    it("ends when it has worked on a request to its crash path, and starts again", async () => {
+        target.setFaults({ crashPath: "/file", crashDownMs: 500 });
+        const sent = send({ "idempotency-key": "k1" }).then(() => "answered", () => "lost");
+        await waitUntil(() => target.counters().started === 1);
+        await finishWork();
+
+        expect(await sent).to.equal("lost");
+        expect(await send().then(() => "answered", () => "lost")).to.equal("lost");
+        target.setFaults({});
+        await clock.advance(500);
+        const again = send();
+        await waitUntil(() => target.counters().started === 2);
+        await finishWork();
+        expect((await again).statusCode).to.equal(200);
+        expect(target.counters().crashes).to.equal(1);
+    });
 });
 
 describe("stop of a target stand-in", () => {
--- a/packages/oleandergap-standins/src/target/exchange.ts
+++ b/packages/oleandergap-standins/src/target/exchange.ts
@@ -10,7 +10,7 @@
 } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import { formatRetryAfter } from "../http/formatRetryAfter.js";
-import { sendJson } from "../http/jsonHttp.js";
+import { readPath, sendJson } from "../http/jsonHttp.js";
 import { sendEcho, summariseBody } from "./echo.js";
 import type { TargetFaults, TargetOptions } from "./options.js";
 import { readRequestFacts, type RequestFacts } from "./requestFacts.js";
@@ -29,6 +29,8 @@
     expired: number;
     /** Broken off because the other side hung up. */
     cancelled: number;
+    /** Ends of the target by a request that it ran. */
+    crashes: number;
     /** Requests that arrived after the target had said that it is leaving. */
     receivedWhileLeaving: number;
     /** Time from that word to the last such request. */
@@ -48,6 +50,8 @@
     readonly counters: TargetCounters;
     readonly startedAt: Milliseconds;
     readonly faults: () => TargetFaults;
+    /** Ends the target as a killed process would; it starts again by itself. */
+    readonly crash: () => void;
 }
 
 const SERVICE_UNAVAILABLE = 503;
@@ -126,6 +130,11 @@
         context.counters.cancelled += 1;
         return;
     }
+    if (readPath(request) === context.faults().crashPath) {
+        context.counters.crashes += 1;
+        context.crash();
+        return;
+    }
     await answer(context, request, response, facts, body);
 };
 
--- a/packages/oleandergap-standins/src/target/options.ts
+++ b/packages/oleandergap-standins/src/target/options.ts
@@ -65,6 +65,10 @@
     silent: z.boolean().default(false),
     /** Share of the requests that the target sheds although it has free slots. */
     shedShare: shareSchema.default(0),
+    /** Requests to this path, without its query, end the target when their work is done; empty for none. */
+    crashPath: z.string().default(""),
+    /** A target that was ended so starts again after this time. */
+    crashDownMs: millisecondsSchema.default(3000),
 });
 /** Switches with the defaults filled in. */
 export type TargetFaults = z.output<typeof targetFaultsSchema>;
--- a/packages/oleandergap-standins/src/target/targetStandIn.ts
+++ b/packages/oleandergap-standins/src/target/targetStandIn.ts
@@ -56,6 +56,7 @@
     shed: 0,
     expired: 0,
     cancelled: 0,
+    crashes: 0,
     receivedWhileLeaving: 0,
     lastReceivedWhileLeavingMs: 0,
     inFlight: 0,
@@ -63,12 +64,16 @@
 });
 
 interface TargetState extends ExchangeContext {
+    crash: () => void;
     /** Monotonic time at which the target said that it leaves. */
     leavingSince: Milliseconds | undefined;
     currentFaults: TargetFaults;
     readonly sockets: Set<Socket>;
     readonly silenced: WeakSet<Socket>;
-    readonly lifetime: AbortController;
+    /** Of the process that the target plays; a target that was ended by a request gets a new one. */
+    lifetime: AbortController;
+    /** Lifetimes so far. */
+    lifetimes: number;
 }
 
 const createState = (options: TargetOptions, { clock, random }: TargetDependencies): TargetState => {
@@ -81,11 +86,13 @@
         counters: createCounters(),
         startedAt: usedClock.monotonic(),
         faults: () => state.currentFaults,
+        crash: () => undefined,
         leavingSince: undefined,
         currentFaults: noTargetFaults,
         sockets: new Set(),
         silenced: new WeakSet(),
         lifetime: new AbortController(),
+        lifetimes: 1,
     };
     return state;
 };
@@ -153,7 +160,7 @@
 };
 
 const createTargetAnnouncer = (state: TargetState, port: number): Announcer | undefined => {
-    const { node, partner, service, address, slots, connections, announceEveryMs } = state.options;
+    const { id, node, partner, service, address, slots, connections, announceEveryMs } = state.options;
     return node === undefined ? undefined : createAnnouncer({
         node,
         everyMs: announceEveryMs,
@@ -166,6 +173,7 @@
             slots,
             connections,
             leaving: state.leavingSince !== undefined,
+            instanceId: `${id}/${state.lifetimes}`,
         }),
     });
 };
@@ -185,10 +193,39 @@
 ): Promise<TargetStandIn> => {
     const options = targetOptionsSchema.parse(settings);
     const state = createState(options, dependencies);
-    const server = createTargetServer(state);
+    let server = createTargetServer(state);
     const port = await listen(server, options.address, options.port);
     const announcer = createTargetAnnouncer(state, port);
     announcer?.start(state.lifetime.signal);
+    let isStopped = false;
+
+    const end = async (): Promise<void> => {
+        state.lifetime.abort();
+        await closeAbruptly(server);
+    };
+
+    const startAgain = async (): Promise<void> => {
+        state.lifetime = new AbortController();
+        state.lifetimes += 1;
+        server = createTargetServer(state);
+        await listen(server, options.address, port);
+        announcer?.start(state.lifetime.signal);
+    };
+
+    const crashAndReturn = async (): Promise<void> => {
+        if (state.lifetime.signal.aborted) {
+            return;
+        }
+        const downMs = state.currentFaults.crashDownMs;
+        await end();
+        await state.clock.sleep(downMs, new AbortController().signal);
+        if (!isStopped) {
+            await startAgain();
+        }
+    };
+    state.crash = () => {
+        void crashAndReturn();
+    };
 
     const leave = async (): Promise<void> => {
         state.leavingSince ??= state.clock.monotonic();
@@ -196,6 +233,7 @@
     };
 
     const stop = async (): Promise<void> => {
+        isStopped = true;
         await leave();
         await waitUntilIdle(state);
         state.lifetime.abort();
@@ -216,8 +254,8 @@
         leave,
         stop,
         crash: async () => {
-            state.lifetime.abort();
-            await closeAbruptly(server);
+            isStopped = true;
+            await end();
         },
     };
 };
