A request that crashes its targets is contained by the whole fleet

What callers saw: a request that ends each target which runs it was sent to targets without end: each send ended one (POST) or up to three (GET) of the four targets of its service, and 57 to 89 in 100 harmless reads were refused for want of targets.

Cause: nothing was remembered from one send to the next. Each send has an id of its own, no node compared it with an earlier one, and the end of a target counted as a lost answer like any other, after which a read goes to the next target. Class: a failure that its request carries along, met by decisions that look at one attempt, one target and one node at a time.

Change: a new package, oleandergap-containment, and its use on both sides of a node. - Evidence: a gate that loses a run asks whether anything listens at its target; if not, the target ended, and all that ran is suspect of it. Requests are named by method, host, path and body. A run that ends well, anywhere, takes back all crashes before it: a popular read that runs beside each crash is never blamed. Three crashes without a good run contain a request: 503, not run, for ten minutes, twice as long after each further one. - Whoever has seen two crashes of one caller's request does not send it on. A request with two crashes goes to one target of its service, chosen alike by all nodes, one run at a time; a gate runs no two suspects side by side, so that bystanders that were sent on together with the crasher are not blamed for its next crash. - Evidence is told at once by datagram to the zone and to contacts in other zones, told on, and compared once a second while there is any; a node that starts asks. Nothing is sent and no request is named while nothing is held against any. The transport that versions share with the membership is now one for the messages of any part (messageTransport).

--- /dev/null
+++ b/packages/oleandergap-containment/src/containment.ts
@@ -0,0 +1,124 @@
+/** What a node knows of requests that crash targets, and says of them. */
+import type { Logger } from "oleandergap-logger";
+import type { Clock, Milliseconds, NodeId } from "oleandergap-types";
+import { hashText, type Random } from "oleandergap-utils";
+import type { CrashId, CrashReport, Judgement } from "./evidence.js";
+import { createEvidenceBook, type ContainedRequest } from "./evidenceBook.js";
+import type { EvidenceMessage } from "./evidenceMessage.js";
+import { createEvidenceSpread, type EvidenceNetwork } from "./evidenceSpread.js";
+import type { Fingerprint } from "./fingerprint.js";
+import type { ContainmentOptions } from "./options.js";
+
+/** What a containment is made from. */
+export interface ContainmentDependencies<Peer> {
+    readonly nodeId: NodeId;
+    /** Differs with each start of the process. */
+    readonly bootId: string;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    readonly options: ContainmentOptions;
+    readonly network: EvidenceNetwork<Peer>;
+    readonly signal: AbortSignal;
+}
+
+/** Counts since the start. */
+export interface ContainmentStatistics {
+    /** Crashes of the own target beside runs. */
+    readonly ownCrashes: number;
+    /** Requests of which anything is known now. */
+    readonly suspects: number;
+    /** Requests that are refused now. */
+    readonly contained: number;
+}
+
+/** The judgements of one node on requests, and the evidence behind them. */
+export interface Containment<Peer> {
+    /** Begins to ask other nodes. */
+    readonly start: () => void;
+    readonly receive: (from: Peer, message: EvidenceMessage) => void;
+    /** Whether anything is held against any request; while not, no request needs to be named. */
+    readonly hasSuspects: () => boolean;
+    readonly judge: (fingerprint: Fingerprint) => Judgement;
+    /** Time until a contained request may be tried again. */
+    readonly retryAfter: (judgement: Extract<Judgement, { readonly kind: "Contained" }>) => Milliseconds;
+    /** The own target ended beside these runs. */
+    readonly noteOwnCrash: (running: readonly Fingerprint[]) => CrashId;
+    /** Another node said of one request that the target beside it ended. */
+    readonly noteCrash: (crash: CrashId, node: NodeId, fingerprint: Fingerprint) => void;
+    /** The own target answered a request. */
+    readonly noteGoodRun: (fingerprint: Fingerprint) => void;
+    readonly listContained: () => readonly ContainedRequest[];
+    readonly stats: () => ContainmentStatistics;
+}
+
+const BASE_36 = 36;
+
+/** Starts without evidence. */
+export const createContainment = <Peer>(
+    { nodeId, bootId, clock, random, logger, options, network, signal }: ContainmentDependencies<Peer>,
+): Containment<Peer> => {
+    const book = createEvidenceBook(options);
+    const processName = hashText(`${nodeId}/${bootId}`).toString(BASE_36);
+    let ownCrashes = 0;
+    let contained: ReadonlySet<Fingerprint> = new Set();
+
+    /** One line at the beginning and at the end of each containment. */
+    const logChanges = (): void => {
+        const requests = book.listContained(clock.monotonic());
+        for (const { fingerprint, nodes, until } of requests) {
+            if (!contained.has(fingerprint)) {
+                const forMs = Math.round(until - clock.monotonic());
+                const context = { fingerprint, nodes: nodes.join(" "), forMs };
+                logger.warn("A request is refused, as targets crash under it.", context);
+            }
+        }
+        const names = new Set(requests.map(({ fingerprint }) => fingerprint));
+        for (const fingerprint of contained) {
+            if (!names.has(fingerprint)) {
+                logger.info("A request is no longer refused for crashes.", { fingerprint });
+            }
+        }
+        contained = names;
+    };
+
+    const spread = createEvidenceSpread({ clock, random, logger, book, network, onChange: logChanges, signal });
+
+    const noteOwnCrash: Containment<Peer>["noteOwnCrash"] = (running) => {
+        ownCrashes += 1;
+        const crash = `${processName}-${ownCrashes}`;
+        const fingerprints = [...new Set(running)];
+        const report: CrashReport = { crash, node: nodeId, at: clock.monotonic(), fingerprints };
+        logger.warn("The target ended beside runs.", { crash, running: fingerprints.join(" ") });
+        book.noteCrash(report);
+        spread.tellCrash(report);
+        logChanges();
+        return crash;
+    };
+
+    return {
+        start: spread.start,
+        receive: spread.receive,
+        hasSuspects: book.hasSuspects,
+        judge: (fingerprint) => book.judge(fingerprint, clock.monotonic()),
+        retryAfter: ({ until }) => Math.max(0, until - clock.monotonic()),
+        noteOwnCrash,
+        noteCrash: (crash, node, fingerprint) => {
+            book.noteCrash({ crash, node, at: clock.monotonic(), fingerprints: [fingerprint] });
+            logChanges();
+        },
+        noteGoodRun: (fingerprint) => {
+            const run = { fingerprint, at: clock.monotonic() };
+            if (book.noteGoodRun(run)) {
+                spread.tellGoodRun(run);
+                logChanges();
+            }
+        },
+        listContained: () => book.listContained(clock.monotonic()),
+        stats: () => ({
+            ownCrashes,
+            suspects: book.size(),
+            contained: book.listContained(clock.monotonic()).length,
+        }),
+    };
+};
--- a/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
+++ b/packages/oleandergap-distribution/src/__tests__/inMemoryFleet.ts
@@ -5,7 +5,7 @@
 import type { Head, LinkClass, Milliseconds, NodeId, PartnerName } from "oleandergap-types";
 import { createLogger } from "oleandergap-logger";
 import { createManualClock, createSeededRandom, pickOne, pickSeveral, type ManualClock } from "oleandergap-utils";
-import { packText } from "../datagramText.js";
+import { packText } from "oleandergap-membership";
 import { defaultDistributionOptions, type DistributionOptions } from "../options.js";
 import type { PeerError } from "../peerError.js";
 import { peerRouter } from "../peerRouter.js";
--- a/packages/oleandergap-distribution/src/__tests__/smallSteps.test.ts
+++ b/packages/oleandergap-distribution/src/__tests__/smallSteps.test.ts
@@ -4,7 +4,7 @@
 // Cause: what does not fit into a datagram as text is fetched, and a route takes eight cells.
 // Evidence: of 57 members none had such a step from a datagram; the last one had it 0.85 s after it was told of it.
 import { expect } from "chai";
-import { packText, unpackText } from "../datagramText.js";
+import { packText, unpackText } from "oleandergap-membership";
 import { expectInForceEverywhere } from "./fleetAssertions.js";
 import { createInMemoryFleet, type InMemoryFleet } from "./inMemoryFleet.js";
 import { createLimits } from "./recordingStore.js";
--- a/packages/oleandergap-distribution/src/compactDelta.ts
+++ b/packages/oleandergap-distribution/src/compactDelta.ts
@@ -15,7 +15,7 @@
     type PartnerDocument,
 } from "oleandergap-types";
 import { z } from "zod";
-import { packText } from "./datagramText.js";
+import { packText } from "oleandergap-membership";
 
 /** A delta without its base digest and without the values before; a cell without `after` was removed. */
 export const compactDeltaSchema = deltaSchema.pick({
--- a/packages/oleandergap-distribution/src/datagramText.ts
+++ b/packages/oleandergap-membership/src/datagramText.ts
@@ -1,9 +1,9 @@
 /**
- * Text in datagrams of the spread, compressed where that saves much.
+ * Text in datagrams, compressed where that saves much.
  *
- * The cells of a step repeat names and addresses, so that a change of a few routes shrinks to a part of its text. What
- * fits into a datagram needs no connection at any receiver; fetched over a link that is full of requests, even a small
- * step would be late there.
+ * The cells of a version repeat names and addresses, so that a change of a few routes shrinks to a part of its text.
+ * What fits into a datagram needs no connection at any receiver; fetched over a link that is full of requests, even
+ * a small step would be late there.
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 
--- a/packages/oleandergap-membership/src/index.ts
+++ b/packages/oleandergap-membership/src/index.ts
@@ -1,8 +1,10 @@
 /** Which nodes and targets exist: probing, suspicion and zone directories. */
 export { MAX_DATAGRAM_BYTES } from "./datagramCodec.js";
+export { packText, unpackText } from "./datagramText.js";
 export * from "./fleetKey.js";
 export * from "./membership.js";
 export * from "./membershipTypes.js";
+export * from "./messageTransport.js";
 export * from "./options.js";
 export { formatRosterKey } from "./roster.js";
 export * from "./sealedTransport.js";
--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -1,4 +1,5 @@
 /** A gateway on loopback in front of gates on loopback, with a table of one service. */
+import type { Containment } from "oleandergap-containment";
 import { createLogger } from "oleandergap-logger";
 import type { TargetMember } from "oleandergap-membership";
 import { createRequestRouter, createTargetPicker } from "oleandergap-routing";
@@ -8,6 +9,7 @@
 import { createGatewayHandler } from "../gateway/gatewayHandler.js";
 import type { FindOwnerRouter } from "../gateway/ownerRouting.js";
 import { createCallerPatience } from "../gateway/callerPatience.js";
+import { createRequestCare } from "../gateway/requestCare.js";
 import { createServiceChooser } from "../gateway/routeTable.js";
 import type { LogSilentGate } from "../gateway/silenceLog.js";
 import { createSendToGate } from "../gateway/sendToGate.js";
@@ -15,7 +17,7 @@
 import { createCallerSignals, type CallerSignals } from "../http/callerSignal.js";
 import { createConnectionPools } from "../http/connectionPools.js";
 import type { Listener, ListenerOptions } from "../http/listener.js";
-import { LOOPBACK, startTestListener, TEST_LIMIT, type Cleanup } from "./support.js";
+import { createLoneContainment, LOOPBACK, startTestListener, TEST_LIMIT, type Cleanup } from "./support.js";
 
 export const HOST = "grant-filer.halloway";
 
@@ -60,6 +62,7 @@
     readonly findOwnerRouter?: FindOwnerRouter;
     readonly gateSilenceMs?: number;
     readonly logSilence?: LogSilentGate;
+    readonly containment?: Containment<never>;
     readonly turns?: ListenerOptions["turns"];
 }
 
@@ -94,6 +97,7 @@
             bodySilenceMs: 30_000,
             logSilence: options.logSilence ?? (() => undefined),
         }),
+        createRequestCare: createRequestCare(options.containment ?? createLoneContainment(clock)),
         closed,
         callerAt: () => undefined,
         maxBodyBytes: options.maxBodyBytes ?? 64 * 1024 * 1024,
--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -68,6 +68,7 @@
             controlPlane: {
                 membership: { start: atOnce, leave: leaveMembership },
                 directory: { start: () => undefined },
+                containment: { start: () => undefined },
                 spread: {
                     start: () => undefined,
                     recover: isRecovered ? async () => ({ kind: "Recovered", source: "zone" }) : never,
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -6,6 +6,9 @@
 import type { ClaimKeeper, ClaimRequest, ClaimResult } from "oleandergap-idempotency";
 import { createLogger } from "oleandergap-logger";
 import type { Announcement, Clock, Limit, MemberTarget } from "oleandergap-types";
+import { createContainment, defaultContainmentOptions, type Containment } from "oleandergap-containment";
+import { createCarefulServe } from "../gate/carefulServe.js";
+import { createRunWatch } from "../gate/createRunWatch.js";
 import { createGateHandler } from "../gate/gateHandler.js";
 import type { ServeAtGate } from "../gate/gateRequest.js";
 import { createServeAtGate } from "../gate/serveAtGate.js";
@@ -199,6 +202,18 @@
     ...changes,
 });
 
+/** What a node that tells nobody, and hears of nobody, knows of crashes. */
+export const createLoneContainment = <Peer = never>(clock: Clock): Containment<Peer> => createContainment<Peer>({
+    nodeId: "lone",
+    bootId: "boot",
+    clock,
+    random: () => 0,
+    logger: createLogger("test"),
+    options: defaultContainmentOptions,
+    network: { members: () => [], contacts: () => [], isNear: () => true, send: () => undefined },
+    signal: new AbortController().signal,
+});
+
 export interface GateHarness {
     readonly port: number;
     readonly listener: Listener;
@@ -212,6 +227,7 @@
     readonly clock: Clock;
     readonly limit?: Limit;
     readonly claims?: Claims;
+    readonly containment?: Containment<never>;
     /** See `LoopLag`. */
     readonly catchUp?: () => Promise<void> | undefined;
     readonly turns?: ListenerOptions["turns"];
@@ -233,7 +249,8 @@
         leavingQueueMs: 1000,
         slowStartMs: 10_000,
     });
-    const serve = createServeAtGate({
+    const { containment = createLoneContainment(clock) } = options;
+    const serve = createCarefulServe(clock, containment, createServeAtGate({
         clock,
         pools,
         currentTarget: keeper.current,
@@ -242,8 +259,11 @@
         maxAnswerBytes: 1024,
         minSilenceMs: 1000,
         bodySilenceMs: 30_000,
+        watchRun: createRunWatch({
+            clock, containment, createPartLogger: createLogger, currentTarget: keeper.current,
+        }),
         catchUp,
-    });
+    }));
     const listener = await startTestListener(cleanup, clock, createGateHandler({
         clock,
         logger: createLogger("test"),
--- a/packages/oleandergap-node/src/admin/gauges.ts
+++ b/packages/oleandergap-node/src/admin/gauges.ts
@@ -39,6 +39,7 @@
 export const addNodeGauges = (metrics: NodeMetrics, sources: GaugeSources): void => {
     const { controlPlane, requestPath, peerAccess, readiness } = sources;
     const { store, spread, spreadTransport, membership, directory, peers } = controlPlane;
+    const { containment, evidenceTransport } = controlPlane;
     const add = (name: string, help: string, labelNames: string[], read: () => readonly GaugeReading[]): void =>
         metrics.addGauge({ name: `oleandergap_${name}`, help, labelNames, read });
 
@@ -55,6 +56,7 @@
         ...readDatagramBytes(membership.stats()),
         ...readDirections("peerCalls", peers.stats().bytesSent, peers.stats().bytesReceived),
         ...readDirections("spread", spreadTransport.stats().bytesSent, spreadTransport.stats().bytesReceived),
+        ...readDirections("evidence", evidenceTransport.stats().bytesSent, evidenceTransport.stats().bytesReceived),
         ...readDirections("seals", peerAccess.stats().sealBytesSent, peerAccess.stats().sealBytesReceived),
     ]);
     add("strangers", "Datagrams and requests refused for want of the fleet's key.", ["figure"], () => [
@@ -65,6 +67,10 @@
     add("spread_datagrams", "Counts of datagrams that carry versions.", ["figure"], () =>
         readNumbers("figure", spreadTransport.stats()));
     add("peer_calls", "Counts of calls to peers.", ["figure"], () => readNumbers("figure", peers.stats()));
+    add("containment", "Crashes of the own target, requests with evidence, requests refused for crashes.", ["figure"], () =>
+        readNumbers("figure", containment.stats()));
+    add("evidence_datagrams", "Counts of datagrams about crashes.", ["figure"], () =>
+        readNumbers("figure", evidenceTransport.stats()));
     add("target_directory", "Counts of the target directory.", ["figure"], () =>
         readNumbers("figure", directory.stats()));
     add("platform", "Calls to the platform.", ["service", "figure"], () => readPlatformCalls(sources));
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -4,6 +4,7 @@
     type ConfigurationSource,
     type ConfigurationStore,
 } from "oleandergap-configuration";
+import { createContainment, evidenceMessageSchema, type Containment, type EvidenceMessage } from "oleandergap-containment";
 import {
     createPeerClient,
     createSpread,
@@ -17,9 +18,12 @@
 import type { Logger } from "oleandergap-logger";
 import {
     createMembership,
+    createMessageTransport,
     createTargetDirectory,
     createUdpTransport,
+    type Contact,
     type Membership,
+    type MessageTransport,
     type TargetDirectory,
 } from "oleandergap-membership";
 import { classifyLink, type Clock, type ObjectStore, type ServiceReference, type ZoneName } from "oleandergap-types";
@@ -31,6 +35,8 @@
 
 export interface ControlPlaneDependencies {
     readonly options: NodeOptions;
+    /** Differs with each start of the process. */
+    readonly bootId: string;
     readonly clock: Clock;
     /** For periodic work. */
     readonly backgroundClock: Clock;
@@ -51,14 +57,18 @@
     readonly spread: Spread;
     readonly spreadTransport: SpreadTransport;
     readonly directory: TargetDirectory;
+    readonly containment: Containment<Contact>;
+    readonly evidenceTransport: MessageTransport<EvidenceMessage>;
 }
 
+/** First byte of a datagram about crashes. */
+const EVIDENCE_MARK = 0xc0;
 /** Deltas kept for each partner, for peers that are behind. */
 const DELTA_HISTORY = 256;
 
 export const createControlPlane = (dependencies: ControlPlaneDependencies): ControlPlane => {
     const {
-        options, clock, backgroundClock, random, createPartLogger, objectStore, source, peerAccess, signal,
+        options, bootId, clock, backgroundClock, random, createPartLogger, objectStore, source, peerAccess, signal,
     } = dependencies;
     const { nodeId, zone, partners, listen, linkMegabitsPerSecond: width } = options;
     const self = {
@@ -75,19 +85,22 @@
         logger: createPartLogger("configuration"),
         deltaHistory: DELTA_HISTORY,
     });
-    const spreadTransport = createSpreadTransport({
+    const evidenceTransport = createMessageTransport({
         transport: peerAccess.seal(createUdpTransport({
             address: listen.address,
             port: listen.controlPort,
             logger: createPartLogger("membership"),
         })),
         self,
+        mark: EVIDENCE_MARK,
+        schema: evidenceMessageSchema,
     });
+    const spreadTransport = createSpreadTransport({ transport: evidenceTransport.others, self });
     const membership = createMembership({
         self,
         clock: backgroundClock,
         random,
-        transport: spreadTransport.membershipTransport,
+        transport: spreadTransport.others,
         logger: createPartLogger("membership"),
         options: options.membership,
         piggyback: { heads: store.heads, receiveHeads: (from, heads) => spread.receiveHeads(from, heads) },
@@ -124,6 +137,22 @@
         signal,
     });
     spreadTransport.onMessage(spread.receive);
+    const containment = createContainment<Contact>({
+        nodeId,
+        bootId,
+        clock,
+        random,
+        logger: createPartLogger("containment"),
+        options: options.containment,
+        network: {
+            members: () => fleet.members().filter(({ id }) => id !== nodeId),
+            contacts: fleet.contacts,
+            isNear: (contact) => contact.zone === zone,
+            send: evidenceTransport.send,
+        },
+        signal,
+    });
+    evidenceTransport.onMessage(containment.receive);
     // Contacts are looked for in the zones that the tables name, whether or not a seed stands there.
     store.subscribe(() => {
         membership.addZones([...store.view().values()].flatMap((table) => [...table.zones]));
@@ -141,5 +170,7 @@
         random,
         options: options.targetDirectory,
     });
-    return { store, source, membership, fleet, peers, spread, spreadTransport, directory };
+    return {
+        store, source, membership, fleet, peers, spread, spreadTransport, directory, containment, evidenceTransport,
+    };
 };
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -65,7 +65,15 @@
     const { tableService, objectStore } = platform;
     const peerAccess = createPeerAccess({ listen: options.listen, readKeys });
     const shared = {
-        options, clock, backgroundClock, random, createPartLogger: createLogger, ...platform, peerAccess, signal,
+        options,
+        bootId,
+        clock,
+        backgroundClock,
+        random,
+        createPartLogger: createLogger,
+        ...platform,
+        peerAccess,
+        signal,
     };
 
     const controlPlane = createControlPlane(shared);
@@ -83,7 +91,7 @@
         dialects: adapters.dialects,
         callerService: adapters.callerService,
         metrics,
-        bootId,
+        containment: controlPlane.containment,
         view: store.view,
         directory,
         publishTarget: (target) => {
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -11,10 +11,11 @@
 import type { RequestPathDependencies } from "../requestPathTypes.js";
 import { findRow, type OwnService } from "../target/ownService.js";
 import { createTargetKeeper, type TargetKeeper } from "../target/targetKeeper.js";
+import { createCarefulServe } from "./carefulServe.js";
 import { createClaims, type Claims } from "./createClaims.js";
 import { createGateHandler } from "./gateHandler.js";
 import type { ServeAtGate } from "./gateRequest.js";
-import { createLostRunLog } from "./lostRunLog.js";
+import { createRunWatch } from "./createRunWatch.js";
 import { createServeAtGate } from "./serveAtGate.js";
 import type { UnservedCalls } from "./unservedCalls.js";
 
@@ -100,7 +101,8 @@
     const load = (): GateLoad | undefined => target.current()?.gate.load();
     const tally = createRequestTally({ clock: backgroundClock, logger: createPartLogger("request"), load });
     tally.start(dependencies.signal);
-    const serve = tallyGate(clock, tally, createServeAtGate({
+    const { containment } = dependencies;
+    const serveAtTarget = createServeAtGate({
         clock,
         pools,
         claims,
@@ -110,9 +112,10 @@
         minSilenceMs: requests.targetSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
         explainFailure,
-        logLostRun: createLostRunLog(clock, createPartLogger("gate")),
+        watchRun: createRunWatch({ clock, containment, createPartLogger, currentTarget: target.current }),
         catchUp,
-    }));
+    });
+    const serve = tallyGate(clock, tally, createCarefulServe(clock, containment, serveAtTarget));
     const handleGate = createGateHandler({
         clock,
         logger: createPartLogger("gate"),
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -28,6 +28,7 @@
     readRequestHeader,
     selectRequestHeaders,
     STARVED_HEADER,
+    SUSPECT_HEADER,
 } from "../http/headers.js";
 import type { RequestArrival } from "../http/listener.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
@@ -116,6 +117,7 @@
         idempotent: readIdempotent(request, method),
         priority: readPriority(request),
         kind: readRequestHeader(request, KIND_HEADER) ?? "",
+        isSuspect: readRequestHeader(request, SUSPECT_HEADER) !== undefined,
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
         deadline: receivedAt + timeout.right,
--- a/packages/oleandergap-node/src/gate/gateRequest.ts
+++ b/packages/oleandergap-node/src/gate/gateRequest.ts
@@ -21,6 +21,8 @@
     readonly priority: number;
     /** Requests of one kind take about the same time at the target: those of one route. */
     readonly kind: string;
+    /** Targets have crashed beside the request; it is to run beside no other such. */
+    readonly isSuspect: boolean;
     /** Key of a non-idempotent request. */
     readonly idempotencyKey: string | undefined;
     /** Id of the attempt. */
--- a/packages/oleandergap-node/src/gate/lostRunLog.ts
+++ b/packages/oleandergap-node/src/gate/lostRunLog.ts
@@ -1,5 +1,5 @@
 /** Tells which runs of the own target ended without an answer, so that one sees what ran when a target ended. */
-import type { Fingerprint } from "oleandergap-containment";
+import type { CrashId, Fingerprint } from "oleandergap-containment";
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { createTokenBucket } from "oleandergap-utils";
@@ -12,6 +12,8 @@
     /** The target's lifetime; undefined when it does not tell. */
     readonly instance: string | undefined;
     readonly ranMs: Milliseconds;
+    /** The crash that it was lost to, if it was one. */
+    readonly crash: CrashId | undefined;
     readonly detail: string;
 }
 
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -8,13 +8,12 @@
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { TargetDialect, TargetRequest } from "../http/dialect.js";
 import { FIRST_ERROR_STATUS } from "../http/requestEnd.js";
-import { fingerprintRequest } from "../http/requestFingerprint.js";
 import { sendWatched } from "../http/watchedExchange.js";
 import type { LocalTarget } from "../target/targetKeeper.js";
 import { createClaimedRun } from "./claimedRun.js";
 import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import { createLatencyMeter } from "./latencyMeter.js";
-import type { LostRun } from "./lostRunLog.js";
+import type { WatchRun } from "./watchedRun.js";
 
 export interface ServeAtGateDependencies {
     readonly clock: Clock;
@@ -30,7 +29,8 @@
     readonly bodySilenceMs: Milliseconds;
     /** Whether a run of the own target that just ended in failure did so for want of a call; see `UnservedCalls`. */
     readonly explainFailure?: (startedAt: Milliseconds) => boolean;
-    readonly logLostRun?: (run: LostRun) => void;
+    /** Watches the runs of the own target; without it, what becomes of the target tells nothing of a request. */
+    readonly watchRun?: WatchRun;
     /** See `LoopLag`. */
     readonly catchUp?: () => Promise<void> | undefined;
 }
@@ -140,22 +140,6 @@
         return readRefusal(dialect, outcome);
     };
 
-    /** Losses that the caller or the deadline brought about say nothing of the target. */
-    const noteLoss = (target: LocalTarget, request: GateRequest, outcome: Outcome, startedAt: Milliseconds): void => {
-        const now = clock.monotonic();
-        if (either.isRight(outcome) || outcome.left.kind !== "AnswerLost" ||
-            request.signal.aborted || now >= request.deadline) {
-            return;
-        }
-        dependencies.logLostRun?.({
-            fingerprint: fingerprintRequest(request, request.body),
-            attempt: request.requestId,
-            instance: target.announcement.instanceId,
-            ranMs: now - startedAt,
-            detail: outcome.left.detail,
-        });
-    };
-
     const markStarved = (outcome: Outcome, startedAt: Milliseconds): Outcome => {
         const isFailed = either.isRight(outcome) && outcome.right.statusCode >= FIRST_ERROR_STATUS;
         return isFailed && dependencies.explainFailure?.(startedAt) === true ?
@@ -163,8 +147,10 @@
             outcome;
     };
 
-    const runClaimed = (target: LocalTarget): ServeAtGate =>
-        createClaimedRun(dependencies, (request) => sendToTarget(target, request));
+    const runClaimed = (target: LocalTarget): ServeAtGate => {
+        const run: ServeAtGate = (request) => sendToTarget(target, request);
+        return createClaimedRun(dependencies, dependencies.watchRun?.(target, run) ?? run);
+    };
 
     return async (request) => {
         const target = dependencies.currentTarget();
@@ -193,7 +179,6 @@
         request.onAdmitted();
         const startedAt = clock.monotonic();
         const outcome = markStarved(await runClaimed(target)(request), startedAt);
-        noteLoss(target, request, outcome, startedAt);
         if (either.isLeft(outcome)) {
             admission.right.release(toReleaseOutcome(outcome.left, request.signal));
             return outcome;
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -22,6 +22,7 @@
 import { createCallerPatience } from "./callerPatience.js";
 import { createGatewayHandler } from "./gatewayHandler.js";
 import { createOwnerRouting } from "./ownerRouting.js";
+import { createRequestCare } from "./requestCare.js";
 import { createRequestLog, type LogFailedRequest } from "./requestLog.js";
 import { createServiceChooser } from "./routeTable.js";
 import { createSendToGate, type SendToGate } from "./sendToGate.js";
@@ -111,6 +112,7 @@
             createOwnerRouting({ clock, partitions: options.keyOwnership.partitions }) :
             () => undefined,
         send: createSend(dependencies, parts),
+        createRequestCare: createRequestCare(dependencies.containment),
         catchUp: parts.catchUp,
         closed: (callingService) =>
             findClosure(
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -26,6 +26,7 @@
 import type { FindOwnerRouter } from "./ownerRouting.js";
 import type { LogFailedRequest } from "./requestLog.js";
 import type { ChooseService } from "./routeTable.js";
+import { sendWithCare, type CreateRequestCare } from "./requestCare.js";
 import type { FindTargets } from "./targetLookup.js";
 import type { SendToGate } from "./sendToGate.js";
 
@@ -43,6 +44,7 @@
     /** The router of a keyed request whose key has an owner. */
     readonly findOwnerRouter: FindOwnerRouter;
     readonly send: SendToGate;
+    readonly createRequestCare: CreateRequestCare;
     /** See `LoopLag`. */
     readonly catchUp?: () => Promise<void> | undefined;
     /** Why the request of this calling service, or of an unknown caller, is not accepted now, if so. */
@@ -133,7 +135,8 @@
         const signal = dependencies.callerSignals.create(passage.response);
         const { service, row, table, deadline } = caller;
         const found = dependencies.findTargets({ service, row, table, deadline, signal });
-        const targets = found instanceof Promise ? await found : found;
+        const care = dependencies.createRequestCare(caller, body);
+        const targets = care.chooseTargets(found instanceof Promise ? await found : found);
         const ownerRouter = caller.idempotencyKey === undefined ?
             undefined :
             dependencies.findOwnerRouter(service, caller.idempotencyKey, targets);
@@ -148,10 +151,12 @@
             maximumTargets: caller.maximumTargets,
             kind: caller.kind,
             isReturning: caller.isReturning,
+            findObstacle: care.findObstacle,
             signal,
-        }, (target, context) =>
-            dependencies.send(target, { request: caller, caller: passage.callingService, body, ...context }),
-        discardBody);
+        }, sendWithCare(care, (target, isSuspect, context) =>
+            dependencies.send(target, {
+                request: caller, caller: passage.callingService, body, isSuspect, ...context,
+            })), discardBody);
 
         if (either.isLeft(routed)) {
             passage.isRetried = routed.left.retriedBelow;
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -27,6 +27,7 @@
     OBJECTIVE_HEADER,
     PRIORITY_HEADER,
     STARVED_HEADER,
+    SUSPECT_HEADER,
 } from "../http/headers.js";
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
@@ -53,6 +54,8 @@
     readonly request: CallerRequest;
     readonly caller: ServiceReference | undefined;
     readonly body: RequestBody;
+    /** See `GateRequest`. */
+    readonly isSuspect: boolean;
     readonly deadline: Milliseconds;
     readonly signal: AbortSignal;
     /** Takes the gate's signs of life and its silences. */
@@ -117,7 +120,9 @@
 export const createSendToGate = (dependencies: SendToGateDependencies): SendToGate => {
     const { clock, pools } = dependencies;
 
-    const sendLocally = async ({ request, caller, body, deadline, signal }: GateAttempt): Promise<GateOutcome> => {
+    const sendLocally = async (
+        { request, caller, body, isSuspect, deadline, signal }: GateAttempt,
+    ): Promise<GateOutcome> => {
         const outcome = await dependencies.serveLocally({
             service: request.service,
             caller: caller ?? request.service,
@@ -129,6 +134,7 @@
             idempotent: request.idempotent,
             priority: request.priority,
             kind: request.kind,
+            isSuspect,
             idempotencyKey: request.idempotencyKey,
             requestId: dependencies.nextAttemptId(),
             deadline,
@@ -140,7 +146,7 @@
         return { outcome, load: dependencies.localLoad(), retriedBelow: false, isStarved };
     };
 
-    const headersOf = ({ request, caller, deadline }: GateAttempt) => (requestId: string): string[] => {
+    const headersOf = ({ request, caller, isSuspect, deadline }: GateAttempt) => (requestId: string): string[] => {
         const headers = [
             "host", request.host,
             ...request.headers,
@@ -157,6 +163,9 @@
         if (caller !== undefined) {
             headers.push(CALLER_HEADER, formatServiceReference(caller));
         }
+        if (isSuspect) {
+            headers.push(SUSPECT_HEADER, "yes");
+        }
         return headers;
     };
 
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -35,6 +35,12 @@
 /** Request between nodes: milliseconds until an answer is worth less, negative when that has passed. */
 export const OBJECTIVE_HEADER = "oleandergap-objective-ms";
 
+/** Request between nodes: present if targets have crashed beside the request; its gate runs it beside no other such. */
+export const SUSPECT_HEADER = "oleandergap-suspect";
+
+/** Answer between nodes: the id of the crash of the target that the request was lost to. */
+export const CRASH_HEADER = "oleandergap-crash";
+
 /** Answer between nodes: present if the target failed because a call that it made was not served. */
 export const STARVED_HEADER = "oleandergap-starved";
 
--- a/packages/oleandergap-node/src/http/refusal.ts
+++ b/packages/oleandergap-node/src/http/refusal.ts
@@ -1,4 +1,5 @@
 /** How a failure is told to a caller or to another node: status, headers and a small JSON body; and read back. */
+import { crashIdSchema } from "oleandergap-containment";
 import {
     REASON_HEADER,
     refusalReasonSchema,
@@ -11,6 +12,7 @@
     type RequestFailure,
 } from "oleandergap-types";
 import { readAnswerHeader, type AnswerHeaders } from "./answer.js";
+import { CRASH_HEADER } from "./headers.js";
 
 const MILLISECONDS_PER_SECOND = 1000;
 /** Longest advice to come back later that is taken over from a target, in milliseconds. */
@@ -87,6 +89,9 @@
         [VERDICT_HEADER]: failure.verdict,
         [REASON_HEADER]: reason,
     };
+    if (failure.kind === "AnswerLost" && failure.crash !== undefined) {
+        headers[CRASH_HEADER] = failure.crash;
+    }
     if (retryAfterMs !== undefined) {
         headers[RETRY_AFTER_HEADER] = String(Math.ceil(retryAfterMs / MILLISECONDS_PER_SECOND));
         headers[RETRY_AFTER_MS_HEADER] = String(Math.ceil(retryAfterMs));
@@ -128,7 +133,12 @@
         case "AnswerCut":
             return { kind: "AnswerCut", verdict: "ran", detail: "the request ran, and its answer is not at hand" };
         default:
-            return { kind: "AnswerLost", verdict: "mayHaveRun", detail: `the gate reported ${reason}` };
+            return {
+                kind: "AnswerLost",
+                verdict: "mayHaveRun",
+                detail: `the gate reported ${reason}`,
+                crash: crashIdSchema.safeParse(readAnswerHeader(headers, CRASH_HEADER)).data,
+            };
     }
 };
 
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -96,6 +96,7 @@
     sweepRepeatedly(dependencies);
     controlPlane.directory.start(signal);
     controlPlane.spread.start();
+    controlPlane.containment.start();
     const report = (work: string) => (error: unknown): void => {
         logger.error(`${work} failed.`, { detail: String(error) });
     };
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -1,5 +1,6 @@
 /** The daemon's settings file: its own settings, and those of each part. All durations are milliseconds. */
 import { changeOptionsSchema } from "oleandergap-configuration";
+import { containmentOptionsSchema } from "oleandergap-containment";
 import { distributionOptionsSchema } from "oleandergap-distribution";
 import { gateOptionsSchema } from "oleandergap-gate";
 import { claimOptionsSchema, ownershipOptionsSchema } from "oleandergap-idempotency";
@@ -117,6 +118,7 @@
     distribution: distributionOptionsSchema.prefault({}),
     routing: routingOptionsSchema.prefault({}),
     gate: gateOptionsSchema.prefault({}),
+    containment: containmentOptionsSchema.prefault({}),
     changes: changeOptionsSchema.prefault({}),
     claims: claimOptionsSchema.prefault({}),
     keyOwnership: ownershipOptionsSchema.prefault({}),
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -1,7 +1,8 @@
 /** What the way of a request is made from, and what it offers. */
+import type { Containment } from "oleandergap-containment";
 import type { ClaimSweeper } from "oleandergap-idempotency";
 import type { Logger } from "oleandergap-logger";
-import type { TargetDirectory } from "oleandergap-membership";
+import type { Contact, TargetDirectory } from "oleandergap-membership";
 import type { Clock, MemberTarget, ServiceReference, TableService, TableView } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { NodeMetrics } from "./admin/metrics.js";
@@ -28,6 +29,7 @@
     readonly tableService: TableService;
     /** Differs with each start of the process. */
     readonly bootId: string;
+    readonly containment: Containment<Contact>;
     readonly readiness: Readonly<ReadinessState>;
     readonly dialects: Dialects;
     /** The service of all callers at the gateway, where they all belong to this VM. */
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -22,6 +22,8 @@
     readonly kind?: string;
     /** The caller was refused before; such requests are the first that a busy target refuses. */
     readonly isReturning?: boolean;
+    /** Why the request may not be sent, after so many attempts, if so; asked before each attempt. */
+    readonly findObstacle?: ((attempts: number) => RequestFailure | undefined) | undefined;
     /** Aborts when the caller hangs up. */
     readonly signal: AbortSignal;
 }
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -56,11 +56,14 @@
 
     const tryTarget = createTryTarget<Target>(clock);
 
-    const findObstacle = ({ signal, deadline }: RequestExecution<Target>): RequestFailure | undefined => {
+    const findObstacle = (
+        { signal, deadline, findObstacle: findFurther }: RequestExecution<Target>,
+        attempts: number,
+    ): RequestFailure | undefined => {
         if (signal.aborted) {
             return refuse("Cancelled");
         }
-        return clock.monotonic() >= deadline ? refuse("DeadlinePassed") : undefined;
+        return clock.monotonic() >= deadline ? refuse("DeadlinePassed") : findFurther?.(attempts);
     };
 
     const mayTryAgain = (
@@ -112,7 +115,7 @@
                 picker.retryAfter(execution.service)));
         };
         for (;;) {
-            const obstacle = findObstacle(execution);
+            const obstacle = findObstacle(execution, history.tried.length);
             if (obstacle !== undefined) {
                 return giveUp(obstacle);
             }
--- a/packages/oleandergap-routing/src/retryDecision.ts
+++ b/packages/oleandergap-routing/src/retryDecision.ts
@@ -28,6 +28,7 @@
 const finalReasons: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
     "Cancelled",
     "ClaimUnavailable",
+    "Contained",
     "DeadlinePassed",
 ]);
 
--- a/packages/oleandergap-types/src/verdict.ts
+++ b/packages/oleandergap-types/src/verdict.ts
@@ -27,7 +27,13 @@
     /** No connection could be made, so nothing was sent. */
     | { readonly kind: "ConnectFailed"; readonly verdict: "notRun"; readonly detail: string }
     /** The request was sent, and no answer came. */
-    | { readonly kind: "AnswerLost"; readonly verdict: "mayHaveRun"; readonly detail: string }
+    | {
+        readonly kind: "AnswerLost";
+        readonly verdict: "mayHaveRun";
+        readonly detail: string;
+        /** Names the crash of the target that it was lost to, if the target's gate found one. */
+        readonly crash?: string | undefined;
+    }
     /** The answer's head came and its body broke off. */
     | { readonly kind: "AnswerCut"; readonly verdict: "ran"; readonly detail: string }
     /** A request with this idempotency key was already accepted, and its outcome is unknown or still open. */
@@ -50,6 +56,7 @@
     "NotReady",
     "ClaimUnavailable",
     "Cancelled",
+    "Contained",
 ]);
 
 /** Why a request was given up before it ran. */
