--- a/packages/oleandergap-node/src/__tests__/crashes.test.ts
+++ b/packages/oleandergap-node/src/__tests__/crashes.test.ts
@@ -17,6 +17,7 @@
     until,
     type CallOptions,
     type GateHarness,
+    type Received,
 } from "./support.js";
 
 /** A target that can end like a killed process. */
@@ -68,7 +69,11 @@
         return gate;
     };
 
-    const ask = ({ port }: { readonly port: number }, path: string, options: Partial<CallOptions> = {}) =>
+    const ask = (
+        { port }: Pick<CallOptions, "port">,
+        path: string,
+        options: Partial<CallOptions> = {},
+    ): Promise<Received> =>
         call({ port, path, headers: gateHeaders({ host: HOST }), ...options });
 
     const containByThree = (containment: Containment<never>, path: string): void =>
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -91,6 +91,25 @@
 ): boolean =>
     target !== undefined && limitOf(target.announcement) !== undefined && limitOf(announcement) === undefined;
 
+/**
+ * A node that restarts meets a target that has long been warm. Taken for new, it would get the small share of a cold
+ * one for the whole slow start, and the others its load.
+ */
+const estimateStart = (
+    { clock, slowStartMs }: TargetKeeperDependencies,
+    { coldLeftMs }: Announcement,
+): Milliseconds => clock.now() - (coldLeftMs === undefined ? 0 : Math.max(0, slowStartMs - coldLeftMs));
+
+/**
+ * What runs finishes. What waits has a short time to start: a target may be gone soon after it said so, and a request
+ * that it received in its last moments would be lost. At a gate whose node stops, a long queue would take all the time
+ * for draining, at the end of which what still runs is given up.
+ */
+const closeGate = ({ clock, leavingQueueMs }: TargetKeeperDependencies, gate: Gate): void => {
+    void gate.drain();
+    clock.after(leavingQueueMs, gate.refuseWaiting);
+};
+
 export const createTargetKeeper = (dependencies: TargetKeeperDependencies): TargetKeeper => {
     const { clock, logger } = dependencies;
     let target: LocalTarget | undefined;
@@ -113,24 +132,14 @@
         target = { ...local, leaving: true };
         publish();
         logger.info("The target leaves.", { ...describeTarget(local.announcement) });
-        closeGate(local.gate);
-    };
-
-    /**
-     * What runs finishes. What waits has a short time to start: a target may be gone soon after it said so, and a
-     * request that it received in its last moments would be lost. At a gate whose node stops, a long queue would take
-     * all the time for draining, at the end of which what still runs is given up.
-     */
-    const closeGate = (gate: Gate): void => {
-        void gate.drain();
-        clock.after(dependencies.leavingQueueMs, gate.refuseWaiting);
+        closeGate(dependencies, local.gate);
     };
 
     const removeTarget = (): void => {
         expiry.cancel();
         if (target !== undefined) {
             logger.info("The target is gone.", { ...describeTarget(target.announcement) });
-            closeGate(target.gate);
+            closeGate(dependencies, target.gate);
             target = undefined;
             publish();
         }
@@ -146,16 +155,9 @@
         }
     };
 
-    /**
-     * A node that restarts meets a target that has long been warm. Taken for new, it would get the small share of a
-     * cold one for the whole slow start, and the others its load.
-     */
-    const estimateStart = ({ coldLeftMs }: Announcement): Milliseconds =>
-        clock.now() - (coldLeftMs === undefined ? 0 : Math.max(0, dependencies.slowStartMs - coldLeftMs));
-
     const install = (announcement: Announcement): void => {
         const gate = dependencies.createGate(CLOSED_LIMIT, 0);
-        target = { announcement, gate, since: estimateStart(announcement), leaving: false };
+        target = { announcement, gate, since: estimateStart(dependencies, announcement), leaving: false };
         applyLimit(target);
         publish();
         logger.info("A target announced itself.", { ...describeTarget(announcement) });
@@ -236,7 +238,7 @@
             expiry.cancel();
             if (target !== undefined) {
                 const { gate } = target;
-                closeGate(gate);
+                closeGate(dependencies, gate);
                 await gate.drain();
             }
         },
