--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -47,7 +47,7 @@
     readonly announce: (announcement: Announcement) => void;
     /** The target is gone; with `instanceId` and `bornAt` (Unix time), only if it is that lifetime of it. */
     readonly withdraw: (instanceId?: string, bornAt?: Milliseconds) => void;
-    /** The process behind `gate` has ended; another announcement brings its target back. */
+    /** The process behind `gate` has ended: what waits is refused at once. Another announcement brings its target back. */
     readonly lose: (gate: Gate) => void;
     readonly current: () => LocalTarget | undefined;
     /** Takes changed limits of the table into force. */
@@ -214,7 +214,6 @@
         return true;
     };
 
-    /** What waits for a process that has ended is refused at once, so that it goes elsewhere. */
     const lose = (gate: Gate): void => {
         if (target?.gate === gate) {
             removeTarget();
