--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -47,7 +47,7 @@
     readonly announce: (announcement: Announcement) => void;
     /** The target is gone; with `instanceId` and `bornAt` (Unix time), only if it is that lifetime of it. */
     readonly withdraw: (instanceId?: string, bornAt?: Milliseconds) => void;
-    /** The process behind `gate` has ended: what waits is refused at once. Another announcement brings its target back. */
+    /** The process behind `gate` has ended: what waits is refused at once. Its next announcement brings it back. */
     readonly lose: (gate: Gate) => void;
     readonly current: () => LocalTarget | undefined;
     /** Takes changed limits of the table into force. */
@@ -72,6 +72,9 @@
     since,
 });
 
+const serves = ({ announcement }: LocalTarget, { partner, service }: ServiceReference): boolean =>
+    announcement.partner === partner && announcement.service === service;
+
 const isSameTarget = (left: Announcement, right: Announcement): boolean =>
     left.partner === right.partner &&
     left.service === right.service &&
@@ -203,9 +206,7 @@
     };
 
     const drain = (service: ServiceReference): boolean => {
-        const announcement = target?.announcement;
-        if (target === undefined || announcement?.partner !== service.partner ||
-            announcement.service !== service.service) {
+        if (target === undefined || !serves(target, service)) {
             return false;
         }
         if (!target.leaving) {
