A crash is told although its target was back before the loss was read

A node that stood still for longer than the target was away, or a target that is restarted at once, answers that question wrongly; the crash would not count, and the request reach a target once more than it may.

Change: losses that the question did not explain are kept for ten seconds (128 names at most, no bodies), and the next lifetime of the target tells that they were lost to its end, unless the one before had said that it leaves. The keeper names the gate of a target that went without a word to its successor.

--- a/packages/oleandergap-node/src/__tests__/crashes.test.ts
+++ b/packages/oleandergap-node/src/__tests__/crashes.test.ts
@@ -94,6 +94,33 @@
             .to.deep.equal(["Suspect", "Suspect", "Free"]);
     });
 
+    it("is told as a crash although its target was back before the loss was read", async () => {
+        const containment = createLoneContainment(clock);
+        const port = await startRawTarget(cleanup.add, (socket) => socket.once("data", () => socket.destroy()));
+        const gate = await startGate(cleanup.add, { clock, containment });
+        gate.keeper.announce(createAnnouncement(port, { instanceId: "first" }));
+        await ask(gate, CRASH_PATH);
+        expect(containment.hasSuspects()).to.equal(false);
+        gate.keeper.announce(createAnnouncement(port, { instanceId: "second" }));
+        await ask(gate, "/read");
+
+        expect([CRASH_PATH, "/read"].map((path) => containment.judge(nameOf(path)).kind))
+            .to.deep.equal(["Suspect", "Free"]);
+    });
+
+    it("is not blamed when its target has left before another one takes its place", async () => {
+        const containment = createLoneContainment(clock);
+        const port = await startRawTarget(cleanup.add, (socket) => socket.once("data", () => socket.destroy()));
+        const gate = await startGate(cleanup.add, { clock, containment });
+        gate.keeper.announce(createAnnouncement(port, { instanceId: "first" }));
+        await ask(gate, "/read");
+        gate.keeper.announce(createAnnouncement(port, { instanceId: "first", leaving: true }));
+        gate.keeper.announce(createAnnouncement(port, { instanceId: "second" }));
+        await ask(gate, "/read?page=2");
+
+        expect(containment.hasSuspects()).to.equal(false);
+    });
+
     it("is not blamed for a connection that its target resets while it goes on to listen", async () => {
         const containment = createLoneContainment(clock);
         const port = await startRawTarget(cleanup.add, (socket) => socket.once("data", () => socket.destroy()));
--- a/packages/oleandergap-node/src/gate/crashWatch.ts
+++ b/packages/oleandergap-node/src/gate/crashWatch.ts
@@ -2,7 +2,8 @@
  * Finds out whether the own target ended under the requests that it ran.
  *
  * A lost connection alone does not say so: targets also reset connections when they are full, and links break. A
- * process that has ended has no listener; whoever connects is refused at once.
+ * process that has ended has no listener; whoever connects is refused at once. A process that stood still itself may
+ * read the loss when the target is back already; then the target's next lifetime tells.
  */
 import net from "node:net";
 import type { CrashId, Fingerprint } from "oleandergap-containment";
@@ -46,22 +47,30 @@
     readonly loseTarget: (target: LocalTarget) => void;
 }
 
-interface Run {
-    readonly request: GateRequest;
-    /** On the monotonic clock; undefined while it runs. */
-    endedAt: Milliseconds | undefined;
+/** A run that ended, as far as it may still tell of a crash. */
+interface EndedRun {
+    readonly fingerprint: Fingerprint;
+    /** On the monotonic clock. */
+    readonly endedAt: Milliseconds;
+    /** Its connection ended while the target was in place; otherwise it was given up. */
+    readonly isLost: boolean;
 }
 
 /** The runs of one lifetime of the target. */
 interface Lifetime {
-    /** Those that run, those that were lost lately, and those that were given up lately. */
-    readonly runs: Set<Run>;
+    readonly running: Set<GateRequest>;
+    /** Lost or given up lately, the oldest first. */
+    readonly ended: EndedRun[];
     check: Promise<CrashId | undefined> | undefined;
     crash: CrashId | undefined;
 }
 
 /** Losses of one crash are read within so long, also by a process that is behind; a run given up may go on so long. */
 const SAME_CRASH_MS: Milliseconds = 1000;
+/** Time after a loss in which a new lifetime of the target explains it. */
+const LONGEST_RETURN_MS: Milliseconds = 10_000;
+/** Ended runs that are kept: several times the slots of a target. */
+const MOST_ENDED = 128;
 /** On one VM a connection opens or is refused within a few milliseconds, also under load. */
 const CONNECT_LIMIT_MS: Milliseconds = 250;
 /** A port without a listener; a connection that was made and then reset is no sign of an end. */
@@ -89,60 +98,75 @@
     const findLifetime = ({ gate }: LocalTarget): Lifetime => {
         let lifetime = lifetimes.get(gate);
         if (lifetime === undefined) {
-            lifetime = { runs: new Set(), check: undefined, crash: undefined };
+            lifetime = { running: new Set(), ended: [], check: undefined, crash: undefined };
             lifetimes.set(gate, lifetime);
         }
         return lifetime;
     };
 
-    const forgetEnded = ({ runs }: Lifetime): void => {
-        const oldest = clock.monotonic() - SAME_CRASH_MS;
-        for (const run of runs) {
-            if (run.endedAt !== undefined && run.endedAt < oldest) {
-                runs.delete(run);
-            }
+    const isRecent = ({ endedAt, isLost }: EndedRun): boolean =>
+        clock.monotonic() - endedAt <= (isLost ? LONGEST_RETURN_MS : SAME_CRASH_MS);
+
+    const noteEnd = ({ ended }: Lifetime, request: GateRequest, isLost: boolean): void => {
+        const fingerprint = fingerprintRequest(request, request.body);
+        ended.push({ fingerprint, endedAt: clock.monotonic(), isLost });
+        if (ended.length > MOST_ENDED) {
+            ended.shift();
         }
     };
 
+    const tellCrash = (lifetime: Lifetime): void => {
+        const running = [...lifetime.running].map((request) => fingerprintRequest(request, request.body));
+        const ended = lifetime.ended.splice(0).filter(isRecent).map(({ fingerprint }) => fingerprint);
+        lifetime.crash = noteCrash([...running, ...ended]);
+    };
+
     const isInPlace = ({ gate }: LocalTarget): boolean => {
         const current = currentTarget();
         return current !== undefined && current.gate === gate && !current.leaving;
     };
 
     const check = async (target: LocalTarget, lifetime: Lifetime): Promise<CrashId | undefined> => {
-        const isCrash = isInPlace(target) && await isGone(target);
+        const isCrash = await isGone(target);
         lifetime.check = undefined;
-        if (isCrash) {
-            forgetEnded(lifetime);
-            const running = [...lifetime.runs].map(({ request }) => fingerprintRequest(request, request.body));
-            lifetime.crash = noteCrash(running);
-            lifetime.runs.clear();
+        if (isCrash && isInPlace(target)) {
+            tellCrash(lifetime);
             loseTarget(target);
         }
         return lifetime.crash;
     };
 
     const explainLoss = (target: LocalTarget, lifetime: Lifetime): Promise<CrashId | undefined> => {
-        if (lifetime.crash !== undefined) {
+        if (lifetime.crash !== undefined || !isInPlace(target)) {
             return Promise.resolve(lifetime.crash);
         }
         lifetime.check ??= check(target, lifetime);
         return lifetime.check;
     };
 
+    /** What the target before it lost was lost to its end, if that came without a word. */
+    const explainEarlierLosses = ({ succeeds }: LocalTarget): void => {
+        const earlier = succeeds === undefined ? undefined : lifetimes.get(succeeds);
+        if (earlier === undefined || earlier.crash !== undefined) {
+            return;
+        }
+        if (earlier.ended.some((run) => run.isLost && isRecent(run))) {
+            tellCrash(earlier);
+        }
+    };
+
     return {
         begin: (target, request) => {
+            explainEarlierLosses(target);
             const lifetime = findLifetime(target);
-            const run: Run = { request, endedAt: undefined };
-            lifetime.runs.add(run);
+            lifetime.running.add(request);
             return {
                 end: async (how) => {
-                    run.endedAt = clock.monotonic();
+                    lifetime.running.delete(request);
                     if (how === "Over") {
-                        lifetime.runs.delete(run);
                         return undefined;
                     }
-                    forgetEnded(lifetime);
+                    noteEnd(lifetime, request, how === "Lost" && isInPlace(target));
                     return how === "Lost" ? explainLoss(target, lifetime) : undefined;
                 },
             };
--- a/packages/oleandergap-node/src/target/targetKeeper.ts
+++ b/packages/oleandergap-node/src/target/targetKeeper.ts
@@ -24,6 +24,8 @@
     /** Wall-clock time of the first announcement. */
     readonly since: Milliseconds;
     readonly leaving: boolean;
+    /** The gate of the target before it, if that one went without a word. */
+    readonly succeeds: Gate | undefined;
 }
 
 export interface TargetKeeperDependencies {
@@ -113,10 +115,19 @@
     clock.after(leavingQueueMs, gate.refuseWaiting);
 };
 
+const applyLimit = ({ limitOf }: TargetKeeperDependencies, { announcement, gate }: LocalTarget): void => {
+    const limit = limitOf(announcement);
+    // The gate admits no more than the target has connections, so that an admitted request never waits for one.
+    const slots = Math.min(announcement.slots, announcement.connections);
+    gate.setLimit(limit ?? CLOSED_LIMIT, limit === undefined ? 0 : slots);
+};
+
 export const createTargetKeeper = (dependencies: TargetKeeperDependencies): TargetKeeper => {
     const { clock, logger } = dependencies;
     let target: LocalTarget | undefined;
     let stopping = false;
+    /** The gate of the last target, if it has gone without a word. */
+    let silentlyGone: Gate | undefined;
     const lifetimes = createLifetimes();
     const expiry = createExpiry(clock, dependencies.heartbeatTimeoutMs, () => removeTarget());
 
@@ -124,13 +135,6 @@
         dependencies.publish(target && toMemberTarget(target));
     };
 
-    const applyLimit = (local: LocalTarget): void => {
-        const limit = dependencies.limitOf(local.announcement);
-        // The gate admits no more than the target has connections, so that an admitted request never waits for one.
-        const slots = Math.min(local.announcement.slots, local.announcement.connections);
-        local.gate.setLimit(limit ?? CLOSED_LIMIT, limit === undefined ? 0 : slots);
-    };
-
     const startLeaving = (local: LocalTarget): void => {
         target = { ...local, leaving: true };
         publish();
@@ -143,6 +147,7 @@
         if (target !== undefined) {
             logger.info("The target is gone.", { ...describeTarget(target.announcement) });
             closeGate(dependencies, target.gate);
+            silentlyGone = target.leaving ? undefined : target.gate;
             target = undefined;
             publish();
         }
@@ -155,13 +160,15 @@
         }
         if (instanceId === undefined || target?.announcement.instanceId === instanceId) {
             removeTarget();
+            silentlyGone = undefined;
         }
     };
 
     const install = (announcement: Announcement): void => {
         const gate = dependencies.createGate(CLOSED_LIMIT, 0);
-        target = { announcement, gate, since: estimateStart(dependencies, announcement), leaving: false };
-        applyLimit(target);
+        const since = estimateStart(dependencies, announcement);
+        target = { announcement, gate, since, leaving: false, succeeds: silentlyGone };
+        applyLimit(dependencies, target);
         publish();
         logger.info("A target announced itself.", { ...describeTarget(announcement) });
     };
@@ -171,7 +178,7 @@
             local.announcement.connections !== announcement.connections;
         target = { ...local, announcement };
         if (isChanged) {
-            applyLimit(target);
+            applyLimit(dependencies, target);
             publish();
         }
         if (announcement.leaving && !local.leaving) {
@@ -230,7 +237,7 @@
         current: () => target,
         refreshLimit: () => {
             if (target !== undefined) {
-                applyLimit(target);
+                applyLimit(dependencies, target);
             }
         },
         stop: async () => {
