What is contained outlasts the end of all nodes

Change: the nodes that saw the crashes write a contained request to the platform's table, again and again until it is written, and delete the row when a run has ended well. One reading call a zone and start of the whole fleet; none when a node starts beside others.

Tests: evidenceSpread.test.ts, 'outlasts the end of all nodes at once, for one reading call a zone' (12 nodes, 3 calls), 'is written once the platform is back, and read again once it is', 'leaves no row behind ...'; with real daemons fleetCrashes.test.ts, 'stays refused when all nodes are killed at once and start anew'. They came with the change; what was there before kept nothing.

--- a/packages/oleandergap-containment/src/__tests__/evidenceBook.test.ts
+++ b/packages/oleandergap-containment/src/__tests__/evidenceBook.test.ts
@@ -50,8 +50,9 @@
         });
 
         expect(kinds).to.deep.equal(["Suspect", "Probation", "Contained"]);
+        const crashes = [1, 2, 3].map((crash) => ({ crash: `c-${crash}`, node: `node-${crash}` }));
         expect(book.listContained(3)).to.deep.equal([
-            { fingerprint: CRASHER, since: 3, until: 3 + holdMs, nodes: ["node-1", "node-2", "node-3"] },
+            { fingerprint: CRASHER, since: 3, until: 3 + holdMs, crashes },
         ]);
     });
 
--- a/packages/oleandergap-containment/src/__tests__/evidenceNetwork.ts
+++ b/packages/oleandergap-containment/src/__tests__/evidenceNetwork.ts
@@ -1,6 +1,7 @@
 /** Nodes that tell each other of crashes, over a network in memory and on one clock. */
 import { createLogger } from "oleandergap-logger";
-import type { Milliseconds } from "oleandergap-types";
+import * as either from "fp-ts/lib/Either.js";
+import type { Milliseconds, TableOperation, TableRow, TableService } from "oleandergap-types";
 import { createManualClock, type ManualClock, type Random } from "oleandergap-utils";
 import { createContainment, type Containment } from "../containment.js";
 import { evidenceMessageSchema } from "../evidenceMessage.js";
@@ -24,11 +25,45 @@
     carry: (from: TestPeer, to: TestPeer) => Milliseconds | undefined;
     datagrams: number;
     largest: number;
+    isStoreUp: boolean;
+    readonly rows: Map<string, unknown>;
+    storeCalls: number;
     readonly kill: (node: TestNode) => void;
     readonly start: (node: TestNode) => void;
 }
 
 const CONTACTS_PER_ZONE = 3;
+const AWAY = either.left({ kind: "Unavailable", detail: "away" } as const);
+
+/** The platform's table as far as contained requests need it. */
+const createTestTable = (network: () => TestNetwork): Pick<TableService, "transact" | "scan"> => {
+    const apply = (operation: TableOperation): void => {
+        if (operation.kind === "Put") {
+            network().rows.set(operation.key, operation.value);
+        }
+        if (operation.kind === "Delete") {
+            network().rows.delete(operation.key);
+        }
+    };
+    const toRow = ([key, value]: readonly [string, unknown]): TableRow =>
+        ({ key, value, version: { era: 1, version: 1 } });
+    return {
+        transact: (operations) => async () => {
+            network().storeCalls += 1;
+            if (!network().isStoreUp) {
+                return AWAY;
+            }
+            operations.forEach(apply);
+            return either.right({ kind: "Committed" });
+        },
+        scan: ({ prefix }) => async () => {
+            network().storeCalls += 1;
+            return network().isStoreUp ?
+                either.right([...network().rows].filter(([key]) => key.startsWith(prefix)).map(toRow)) :
+                AWAY;
+        },
+    };
+};
 
 /** `size` nodes in turn over `zones`; each knows its zone and three contacts of each other one. */
 export const createTestNetwork = (size: number, zones: number, random: Random): TestNetwork => {
@@ -54,6 +89,7 @@
                 members: () => near.filter(({ id }) => find(id).isUp),
                 contacts: () => contacts,
                 isNear: ({ zone }) => zone === self.zone,
+                isFirst: () => near.every(({ id }) => !find(id).isUp || self.id < id),
                 send: (to, message) => {
                     const text = JSON.stringify(message);
                     network.datagrams += 1;
@@ -69,6 +105,7 @@
                     }
                 },
             },
+            tableService: createTestTable(() => network),
             signal: life.signal,
         });
     };
@@ -92,6 +129,9 @@
         carry: () => 1,
         datagrams: 0,
         largest: 0,
+        isStoreUp: true,
+        rows: new Map(),
+        storeCalls: 0,
         kill: (node) => {
             node.isUp = false;
             node.life.abort();
--- a/packages/oleandergap-containment/src/__tests__/evidenceSpread.test.ts
+++ b/packages/oleandergap-containment/src/__tests__/evidenceSpread.test.ts
@@ -56,6 +56,7 @@
 
     it("reaches a zone that was cut off once the cut heals", async () => {
         const network = createTestNetwork(12, 3, createSeededRandom(36));
+        await network.clock.advance(CONTACT_MS);
         network.carry = (from, to) => (from.zone === "zone-0") === (to.zone === "zone-0") ? 1 : undefined;
         crashAt(network, [1, 2, 4]);
         await network.clock.advance(CONTACT_MS);
@@ -77,6 +78,51 @@
         expect(countContained(network)).to.equal(10);
     });
 
+    it("outlasts the end of all nodes at once, for one reading call a zone", async () => {
+        const network = createTestNetwork(12, 3, createSeededRandom(36));
+        await network.clock.advance(CONTACT_MS);
+        crashAt(network, [0, 4, 8]);
+        await network.clock.advance(100);
+        network.nodes.forEach(network.kill);
+        await network.clock.advance(5000);
+        network.storeCalls = 0;
+        network.nodes.forEach(network.start);
+        await network.clock.advance(CONTACT_MS);
+
+        expect(countContained(network)).to.equal(12);
+        expect(network.storeCalls).to.be.at.most(3);
+    });
+
+    it("is written once the platform is back, and read again once it is", async () => {
+        const network = createTestNetwork(12, 3, createSeededRandom(36));
+        network.isStoreUp = false;
+        crashAt(network, [0, 4, 8]);
+        await network.clock.advance(10_000);
+        expect(network.rows.size).to.equal(0);
+        network.isStoreUp = true;
+        await network.clock.advance(10_000);
+        expect(network.rows.size).to.equal(1);
+        network.nodes.forEach(network.kill);
+        network.isStoreUp = false;
+        network.nodes.forEach(network.start);
+        await network.clock.advance(10_000);
+        network.isStoreUp = true;
+        await network.clock.advance(10_000);
+
+        expect(countContained(network)).to.equal(12);
+    });
+
+    it("leaves no row behind when a contained request has ended well", async () => {
+        const network = createTestNetwork(12, 3, createSeededRandom(36));
+        crashAt(network, [0, 4, 8]);
+        await network.clock.advance(CONTACT_MS);
+        expect(network.rows.size).to.equal(1);
+        nodeAt(network, 2).containment.noteGoodRun(CRASHER);
+        await network.clock.advance(CONTACT_MS);
+
+        expect(network.rows.size).to.equal(0);
+    });
+
     it("tells all nodes of a good run, whatever they held", async () => {
         const network = createTestNetwork(60, 3, createSeededRandom(36));
         crashAt(network, [0, 4, 8]);
--- a/packages/oleandergap-containment/src/containment.ts
+++ b/packages/oleandergap-containment/src/containment.ts
@@ -1,7 +1,8 @@
 /** What a node knows of requests that crash targets, and says of them. */
 import type { Logger } from "oleandergap-logger";
-import type { Clock, Milliseconds, NodeId } from "oleandergap-types";
+import type { Clock, Milliseconds, NodeId, TableService } from "oleandergap-types";
 import { hashText, type Random } from "oleandergap-utils";
+import { createContainedRows } from "./containedRows.js";
 import type { CrashId, CrashReport, Judgement } from "./evidence.js";
 import { createEvidenceBook, type ContainedRequest } from "./evidenceBook.js";
 import type { EvidenceMessage } from "./evidenceMessage.js";
@@ -19,6 +20,8 @@
     readonly logger: Logger;
     readonly options: ContainmentOptions;
     readonly network: EvidenceNetwork<Peer>;
+    /** Keeps what is contained for the moment at which all nodes start anew. */
+    readonly tableService: Pick<TableService, "transact" | "scan">;
     readonly signal: AbortSignal;
 }
 
@@ -56,43 +59,56 @@
 
 /** Starts without evidence. */
 export const createContainment = <Peer>(
-    { nodeId, bootId, clock, random, logger, options, network, signal }: ContainmentDependencies<Peer>,
+    { nodeId, bootId, clock, random, logger, options, network, tableService, signal }: ContainmentDependencies<Peer>,
 ): Containment<Peer> => {
     const book = createEvidenceBook(options);
-    const processName = hashText(`${nodeId}/${bootId}`).toString(BASE_36);
+    const rows = createContainedRows({ tableService, clock, random, logger, signal });
+    /** Begins the ids of crashes that this process has seen. */
+    const ownPrefix = `${hashText(`${nodeId}/${bootId}`).toString(BASE_36)}-`;
     let ownCrashes = 0;
-    let contained: ReadonlySet<Fingerprint> = new Set();
+    /** Crashes of each request that is refused. */
+    let contained: ReadonlyMap<Fingerprint, number> = new Map();
 
-    /** One line at the beginning and at the end of each containment. */
-    const logChanges = (): void => {
-        const requests = book.listContained(clock.monotonic());
-        for (const { fingerprint, nodes, until } of requests) {
-            if (!contained.has(fingerprint)) {
-                const forMs = Math.round(until - clock.monotonic());
-                const context = { fingerprint, nodes: nodes.join(" "), forMs };
-                logger.warn("A request is refused, as targets crash under it.", context);
-            }
+    const noteContained = (request: ContainedRequest): void => {
+        const { fingerprint, crashes, until } = request;
+        const forMs = Math.round(until - clock.monotonic());
+        const nodes = crashes.map(({ node }) => node).join(" ");
+        logger.warn("A request is refused, as targets crash under it.", { fingerprint, nodes, forMs });
+        // Each node that saw one of the crashes writes: none knows whether another one lives to do so.
+        if (crashes.some(({ crash }) => crash.startsWith(ownPrefix))) {
+            rows.save(request);
         }
-        const names = new Set(requests.map(({ fingerprint }) => fingerprint));
-        for (const fingerprint of contained) {
-            if (!names.has(fingerprint)) {
-                logger.info("A request is no longer refused for crashes.", { fingerprint });
-            }
-        }
-        contained = names;
     };
 
-    const spread = createEvidenceSpread({ clock, random, logger, book, network, onChange: logChanges, signal });
+    const noteReleased = (fingerprint: Fingerprint): void => {
+        logger.info("A request is no longer refused for crashes.", { fingerprint });
+        rows.remove(fingerprint);
+    };
+
+    /** Takes in what new evidence has changed: one line at the beginning and at the end of each containment. */
+    const noteChanges = (): void => {
+        const requests = book.listContained(clock.monotonic());
+        requests
+            .filter(({ fingerprint, crashes }) => contained.get(fingerprint) !== crashes.length)
+            .forEach(noteContained);
+        const former = contained;
+        contained = new Map(requests.map(({ fingerprint, crashes }) => [fingerprint, crashes.length]));
+        [...former.keys()].filter((fingerprint) => !contained.has(fingerprint)).forEach(noteReleased);
+    };
+
+    const spread = createEvidenceSpread({
+        clock, random, logger, book, network, loadContained: rows.load, onChange: noteChanges, signal,
+    });
 
     const noteOwnCrash: Containment<Peer>["noteOwnCrash"] = (running) => {
         ownCrashes += 1;
-        const crash = `${processName}-${ownCrashes}`;
+        const crash = `${ownPrefix}${ownCrashes}`;
         const fingerprints = [...new Set(running)];
         const report: CrashReport = { crash, node: nodeId, at: clock.monotonic(), fingerprints };
         logger.warn("The target ended beside runs.", { crash, running: fingerprints.join(" ") });
         book.noteCrash(report);
         spread.tellCrash(report);
-        logChanges();
+        noteChanges();
         return crash;
     };
 
@@ -105,13 +121,13 @@
         noteOwnCrash,
         noteCrash: (crash, node, fingerprint) => {
             book.noteCrash({ crash, node, at: clock.monotonic(), fingerprints: [fingerprint] });
-            logChanges();
+            noteChanges();
         },
         noteGoodRun: (fingerprint) => {
             const run = { fingerprint, at: clock.monotonic() };
             if (book.noteGoodRun(run)) {
                 spread.tellGoodRun(run);
-                logChanges();
+                noteChanges();
             }
         },
         listContained: () => book.listContained(clock.monotonic()),
--- a/packages/oleandergap-containment/src/evidenceBook.ts
+++ b/packages/oleandergap-containment/src/evidenceBook.ts
@@ -16,13 +16,19 @@
     type SuspectRecord,
 } from "./suspectRecord.js";
 
+/** A crash, and where it was. */
+export interface NamedCrash {
+    readonly crash: CrashId;
+    readonly node: NodeId;
+}
+
 /** A request that is refused now. */
 export interface ContainedRequest {
     readonly fingerprint: Fingerprint;
     readonly since: Milliseconds;
     readonly until: Milliseconds;
-    /** Nodes whose targets crashed, one for each crash. */
-    readonly nodes: readonly NodeId[];
+    /** The crashes that it is refused for, and the nodes whose targets they ended. */
+    readonly crashes: readonly NamedCrash[];
 }
 
 /** The evidence of one node. Times are the node's monotonic clock. */
@@ -153,7 +159,7 @@
                 fingerprint,
                 since: lastCrashAt(record),
                 until: judgement.until,
-                nodes: crashes.map((crash) => crashedNodes.get(crash) ?? ""),
+                crashes: crashes.map((crash) => ({ crash, node: crashedNodes.get(crash) ?? "" })),
             }] :
             [];
     };
--- a/packages/oleandergap-containment/src/evidenceSpread.ts
+++ b/packages/oleandergap-containment/src/evidenceSpread.ts
@@ -9,6 +9,7 @@
 import type { CrashReport, Evidence, GoodRun } from "./evidence.js";
 import type { EvidenceBook } from "./evidenceBook.js";
 import { describeEvidence, readEvidence, type EvidenceMessage } from "./evidenceMessage.js";
+import { createInformer } from "./informer.js";
 
 /** Members of the zone that are told of what this node has seen, or heard from another zone; of ten nodes all. */
 const FANOUT = 9;
@@ -20,10 +21,6 @@
 /** Good runs come by the dozen after a crash; so long they are collected. */
 const COLLECT_MS: Milliseconds = 200;
 const COMPARISON_DISTANCE_MS: Milliseconds = 1000;
-/** Distance of the questions of a node that has just started. */
-const QUESTION_DISTANCE_MS: Milliseconds = 500;
-/** Time after which a node that nobody could inform takes itself for informed: the others know no more. */
-const LONGEST_UNINFORMED_MS: Milliseconds = 3000;
 const ASKED_AT_ONCE = 2;
 /** Answers with all that is held that a node sends a second; each may take several datagrams. */
 const ANSWERS_PER_SECOND = 10;
@@ -35,6 +32,8 @@
     /** Some nodes of each other availability zone. */
     readonly contacts: () => readonly Peer[];
     readonly isNear: (peer: Peer) => boolean;
+    /** Whether this node is the first of its zone in an order that all its members share. */
+    readonly isFirst: () => boolean;
     /** Sends without any promise that the message arrives. */
     readonly send: (to: Peer, message: EvidenceMessage) => void;
 }
@@ -46,6 +45,8 @@
     readonly logger: Logger;
     readonly book: EvidenceBook;
     readonly network: EvidenceNetwork<Peer>;
+    /** What was contained when all nodes were gone; undefined when nobody wants to know any more. */
+    readonly loadContained: (isWanted: () => boolean) => Promise<Evidence | undefined>;
     /** Called after evidence of others has changed the book. */
     readonly onChange: () => void;
     readonly signal: AbortSignal;
@@ -63,11 +64,9 @@
 
 /** Creates the spread; it ends when the signal aborts. */
 export const createEvidenceSpread = <Peer>(
-    { clock, random, logger, book, network, onChange, signal }: EvidenceSpreadDependencies<Peer>,
+    { clock, random, logger, book, network, loadContained, onChange, signal }: EvidenceSpreadDependencies<Peer>,
 ): EvidenceSpread<Peer> => {
     const answers = createTokenBucket({ clock, ratePerSecond: () => ANSWERS_PER_SECOND, burst: ANSWERS_PER_SECOND });
-    const startedAt = clock.monotonic();
-    let isInformed = false;
     const collected: GoodRun[] = [];
 
     const sendEvidence = (to: Peer, evidence: Evidence): void => {
@@ -131,7 +130,7 @@
         if (differs && !isAnswer) {
             compare(from, true);
         }
-        network.send(from, { kind: "Compared", isInformed });
+        network.send(from, { kind: "Compared", isInformed: informer.isInformed() });
     };
 
     const pickPeers = (count: number): readonly Peer[] => {
@@ -139,19 +138,25 @@
         return pickSeveral(random, members.length > 0 ? members : network.contacts(), count);
     };
 
-    const ask = (): void => {
-        if (signal.aborted || isInformed) {
-            return;
-        }
-        if (clock.monotonic() - startedAt >= LONGEST_UNINFORMED_MS) {
-            logger.info("Nobody could tell which requests crash targets.");
-            isInformed = true;
-            return;
-        }
-        pickPeers(ASKED_AT_ONCE).forEach((peer) => compare(peer, false));
-        clock.after(QUESTION_DISTANCE_MS, ask);
+    /** Tells the own zone at once that it need not read as well. */
+    const takeContained = (evidence: Evidence): void => {
+        evidence.crashes.forEach(book.noteCrash);
+        tellAll(evidence);
+        pickPeers(FANOUT).forEach((peer) => network.send(peer, { kind: "Compared", isInformed: true }));
+        onChange();
     };
 
+    const informer = createInformer({
+        clock,
+        random,
+        logger,
+        ask: () => pickPeers(ASKED_AT_ONCE).forEach((peer) => compare(peer, false)),
+        isFirst: network.isFirst,
+        load: loadContained,
+        take: takeContained,
+        signal,
+    });
+
     const compareRepeatedly = (): void => {
         clock.after(COMPARISON_DISTANCE_MS, () => {
             if (signal.aborted) {
@@ -168,7 +173,7 @@
 
     return {
         start: () => {
-            ask();
+            informer.start();
             compareRepeatedly();
         },
         tellCrash: (report) => tellCrash(report, CRASH_ROUNDS),
@@ -182,7 +187,9 @@
                     answerComparison(from, message.digest, message.isAnswer);
                     return;
                 case "Compared":
-                    isInformed ||= message.isInformed;
+                    if (message.isInformed) {
+                        informer.noteInformed();
+                    }
             }
         },
     };
--- a/packages/oleandergap-demo/src/__tests__/fleetCrashes.test.ts
+++ b/packages/oleandergap-demo/src/__tests__/fleetCrashes.test.ts
@@ -21,6 +21,8 @@
 
 const sleep = (durationMs: Milliseconds): Promise<void> => new Promise((resolve) => setTimeout(resolve, durationMs));
 
+const reasonOf = (result: CallResult): string | undefined => result.kind === "Refused" ? result.reason : result.kind;
+
 describe("a request that crashes its targets, in a fleet of real processes", () => {
     let fleet: Fleet;
     let caller: Caller;
@@ -92,7 +94,7 @@
             const told = [...await sendEverywhere(method), ...await sendEverywhere(method)];
             const runsAfter = await countRuns() - runsBefore;
             end.abort();
-            const reasons = (await popular).map((result) => result.kind === "Refused" ? result.reason : result.kind);
+            const reasons = (await popular).map(reasonOf);
 
             expect(runsAfter, JSON.stringify(told)).to.be.at.most(SENDS_AFTER);
             expect(reasons).to.not.include("Contained");
@@ -114,4 +116,16 @@
 
         expect(await countRuns() - runsBefore).to.be.at.most(SENDS_AFTER);
     }).timeout(TIME_LIMIT);
+
+    it("stays refused when all nodes are killed at once and start anew", async () => {
+        await sendUntilThirdCrash("GET");
+        await sleep(CONTACT_MS);
+        await Promise.all(fleet.nodes.map((node) => node.kill()));
+        await Promise.all(fleet.nodes.map((node) => node.start()));
+        await fleet.waitUntilReady();
+        await sleep(CONTACT_MS);
+        const reasons = (await sendEverywhere("GET")).map(reasonOf);
+
+        expect(new Set(reasons)).to.deep.equal(new Set(["Contained"]));
+    }).timeout(TIME_LIMIT);
 });
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -5,6 +5,7 @@
 import { createGate, defaultGateOptions } from "oleandergap-gate";
 import type { ClaimKeeper, ClaimRequest, ClaimResult } from "oleandergap-idempotency";
 import { createLogger } from "oleandergap-logger";
+import { createMemoryTableService } from "oleandergap-platform";
 import type { Announcement, Clock, Limit, MemberTarget } from "oleandergap-types";
 import { createContainment, defaultContainmentOptions, type Containment } from "oleandergap-containment";
 import { createCarefulServe } from "../gate/carefulServe.js";
@@ -213,7 +214,10 @@
     random: () => 0,
     logger: createLogger("test"),
     options: defaultContainmentOptions,
-    network: { members: () => [], contacts: () => [], isNear: () => true, send: () => undefined },
+    network: {
+        members: () => [], contacts: () => [], isNear: () => true, isFirst: () => true, send: () => undefined,
+    },
+    tableService: createMemoryTableService(),
     signal: new AbortController().signal,
 });
 
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -26,7 +26,14 @@
     type MessageTransport,
     type TargetDirectory,
 } from "oleandergap-membership";
-import { classifyLink, type Clock, type ObjectStore, type ServiceReference, type ZoneName } from "oleandergap-types";
+import {
+    classifyLink,
+    type Clock,
+    type ObjectStore,
+    type ServiceReference,
+    type TableService,
+    type ZoneName,
+} from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { PeerAccess } from "./control/peerAccess.js";
 import { createZoneFetcher } from "./control/zoneFetcher.js";
@@ -42,6 +49,7 @@
     readonly backgroundClock: Clock;
     readonly random: Random;
     readonly createPartLogger: (part: string) => Logger;
+    readonly tableService: TableService;
     readonly objectStore: ObjectStore;
     readonly source: ConfigurationSource;
     readonly peerAccess: PeerAccess;
@@ -68,7 +76,8 @@
 
 export const createControlPlane = (dependencies: ControlPlaneDependencies): ControlPlane => {
     const {
-        options, bootId, clock, backgroundClock, random, createPartLogger, objectStore, source, peerAccess, signal,
+        options, bootId, clock, backgroundClock, random, createPartLogger, tableService, objectStore, source,
+        peerAccess, signal,
     } = dependencies;
     const { nodeId, zone, partners, listen, linkMegabitsPerSecond: width } = options;
     const self = {
@@ -148,8 +157,10 @@
             members: () => fleet.members().filter(({ id }) => id !== nodeId),
             contacts: fleet.contacts,
             isNear: (contact) => contact.zone === zone,
+            isFirst: () => fleet.members().every(({ id }) => id >= nodeId),
             send: evidenceTransport.send,
         },
+        tableService,
         signal,
     });
     evidenceTransport.onMessage(containment.receive);
