Good runs are heard at gateways, and told at once of requests about to be refused

Cause: a popular read runs at the next target as well when that crashes; its good runs at others are collected for 200 ms before they are told, and until then it was one crash from containment: a try after a refusal by a node without a target was given up.

Change: the gateway that received a whole answer takes it for a good run itself, a good run of a request with two crashes is told at once, and only a request that has lost a try of its own to a crash is not sent on.

The measurement: npm run measure -- crashing-request.

--- a/packages/oleandergap-containment/src/containment.ts
+++ b/packages/oleandergap-containment/src/containment.ts
@@ -49,8 +49,10 @@
     readonly noteOwnCrash: (running: readonly Fingerprint[]) => CrashId;
     /** Another node said of one request that the target beside it ended. */
     readonly noteCrash: (crash: CrashId, node: NodeId, fingerprint: Fingerprint) => void;
-    /** The own target answered a request. */
+    /** The own target answered a request whole. */
     readonly noteGoodRun: (fingerprint: Fingerprint) => void;
+    /** Another node's target did; that node tells the others. */
+    readonly hearGoodRun: (fingerprint: Fingerprint) => void;
     readonly listContained: () => readonly ContainedRequest[];
     readonly stats: () => ContainmentStatistics;
 }
@@ -125,8 +127,14 @@
         },
         noteGoodRun: (fingerprint) => {
             const run = { fingerprint, at: clock.monotonic() };
+            const isUrgent = book.judge(fingerprint, run.at).kind !== "Suspect";
             if (book.noteGoodRun(run)) {
-                spread.tellGoodRun(run);
+                spread.tellGoodRun(run, isUrgent);
+                noteChanges();
+            }
+        },
+        hearGoodRun: (fingerprint) => {
+            if (book.noteGoodRun({ fingerprint, at: clock.monotonic() })) {
                 noteChanges();
             }
         },
--- a/packages/oleandergap-containment/src/evidenceSpread.ts
+++ b/packages/oleandergap-containment/src/evidenceSpread.ts
@@ -58,7 +58,8 @@
     readonly start: () => void;
     /** Tells what this node's own target showed; the book knows it already. */
     readonly tellCrash: (report: CrashReport) => void;
-    readonly tellGoodRun: (run: GoodRun) => void;
+    /** `isUrgent` if the request is about to be refused, or is already. */
+    readonly tellGoodRun: (run: GoodRun, isUrgent: boolean) => void;
     readonly receive: (from: Peer, message: EvidenceMessage) => void;
 }
 
@@ -90,7 +91,11 @@
         }
     };
 
-    const tellGoodRun = (run: GoodRun): void => {
+    const tellGoodRun = (run: GoodRun, isUrgent: boolean): void => {
+        if (isUrgent) {
+            tellAll({ crashes: [], goodRuns: [run] });
+            return;
+        }
         collected.push(run);
         if (collected.length === 1) {
             clock.after(COLLECT_MS, () => tellAll({ crashes: [], goodRuns: collected.splice(0) }));
--- a/packages/oleandergap-demo/src/__tests__/fleetCrashes.test.ts
+++ b/packages/oleandergap-demo/src/__tests__/fleetCrashes.test.ts
@@ -30,7 +30,7 @@
 
     beforeEach(async function () {
         this.timeout(TIME_LIMIT);
-        fleet = await startFleet(createOneServicePlan(TARGETS, choosePortBase(6)));
+        fleet = await startFleet(createOneServicePlan({ targets: TARGETS, portBase: choosePortBase(6) }));
         caller = createCaller();
         await Promise.all(fleet.nodes.map(({ vm }) => readUntilAnswered(fleet, caller, SERVICE, vm.id)));
         await Promise.all(fleet.nodes.map(({ vm }) =>
--- a/packages/oleandergap-demo/src/fleet/standInControl.ts
+++ b/packages/oleandergap-demo/src/fleet/standInControl.ts
@@ -28,6 +28,8 @@
     readonly leave: (id: string) => Promise<void>;
     readonly stop: (id: string) => Promise<void>;
     readonly crash: (id: string) => Promise<void>;
+    /** Ends a target as a crash does; it starts again by itself. */
+    readonly restart: (id: string) => Promise<void>;
     readonly silence: (id: string) => Promise<void>;
 }
 
@@ -73,6 +75,7 @@
         leave: (id) => act(id, "leave"),
         stop: (id) => act(id, "stop"),
         crash: (id) => act(id, "crash"),
+        restart: (id) => act(id, "restart"),
         silence: (id) => act(id, "silence"),
     };
 };
--- a/packages/oleandergap-demo/src/plan/deployments.ts
+++ b/packages/oleandergap-demo/src/plan/deployments.ts
@@ -1,6 +1,13 @@
 /** Today's two deployments of the brief, on one shared system. */
 import type { Limit, ZoneName } from "oleandergap-types";
-import { createPlatformPlan, createPortPlan, type FleetPlan, type PartnerPlan, type ServicePlan } from "./fleetPlan.js";
+import {
+    createPlatformPlan,
+    createPortPlan,
+    type FleetPlan,
+    type PartnerPlan,
+    type ServicePlan,
+    type TargetBehaviour,
+} from "./fleetPlan.js";
 import { dealOverZones, placeOnVms, type PlacedTarget } from "./placement.js";
 
 const EQUAL_WEIGHT = 100;
@@ -94,8 +101,21 @@
         { ...kushiro, zones: ["sapporo"], workers: [{ service: "checklist", count: 1, limit: "reading" }] },
     ], portBase);
 
+/** How a fleet of one service differs from the usual. */
+export interface OneServiceOptions {
+    readonly targets: number;
+    readonly portBase?: number;
+    readonly behaviour?: TargetBehaviour;
+    /** Merged into every daemon's settings file. */
+    readonly settings?: FleetPlan["settings"];
+}
+
 /** One service of the first partner in its three availability zones, one VM for each target. */
-export const createOneServicePlan = (targets: number, portBase?: number): FleetPlan =>
-    createDeploymentPlan([
+export const createOneServicePlan = ({ targets, portBase, behaviour, settings }: OneServiceOptions): FleetPlan => {
+    const plan = createDeploymentPlan([
         { ...halloway, workers: [{ service: "wills-desk", count: targets, limit: "reading" }] },
     ], portBase);
+    const vms = plan.vms.map((vm) =>
+        vm.target === undefined || behaviour === undefined ? vm : { ...vm, target: { ...vm.target, behaviour } });
+    return { ...plan, vms, ...settings === undefined ? {} : { settings } };
+};
--- a/packages/oleandergap-measure/src/experiments.ts
+++ b/packages/oleandergap-measure/src/experiments.ts
@@ -7,6 +7,7 @@
 import type { Experiment } from "./experiment.js";
 import { TODAYS_NODES } from "./fleetPlans.js";
 import { runAtMostOnce } from "./requests/atMostOnce.js";
+import { CRASHING_NODES, runCrashingRequest } from "./requests/crashingRequest.js";
 import { runOverhead } from "./requests/overhead.js";
 import { runOverload } from "./requests/overload.js";
 import { runRollingRestart } from "./requests/rollingRestart.js";
@@ -70,6 +71,12 @@
         defaultNodes: SERVICE_NODES,
         run: runRollingRestart,
     },
+    {
+        name: "crashing-request",
+        summary: "a request that crashes the targets that run it, targets that crash of themselves, a caller that varies",
+        defaultNodes: CRASHING_NODES,
+        run: runCrashingRequest,
+    },
     {
         name: "node-cost",
         summary: "processor time of a node's start, of its rest and of a request while it is young",
--- a/packages/oleandergap-node/src/gateway/requestCare.ts
+++ b/packages/oleandergap-node/src/gateway/requestCare.ts
@@ -6,13 +6,14 @@
 import type { RequestFailure } from "oleandergap-types";
 import { rankByRendezvous } from "oleandergap-utils";
 import { refuseContained } from "../gate/carefulServe.js";
-import type { Answer } from "../http/answer.js";
+import { observeBody, type Answer } from "../http/answer.js";
 import type { RequestBody } from "../http/requestBody.js";
+import { FIRST_ERROR_STATUS } from "../http/requestEnd.js";
 import { fingerprintRequest, type NamedRequest } from "../http/requestFingerprint.js";
 import type { GateOutcome } from "./sendToGate.js";
 
 /** The part of the containment that the gateway asks and tells. */
-export type GatewayContainment = Pick<Containment<never>, "hasSuspects" | "judge" | "retryAfter" | "noteCrash">;
+export type GatewayContainment = Pick<Containment<never>, "hasSuspects" | "judge" | "retryAfter" | "noteCrash" | "hearGoodRun">;
 
 /** The treatment of one request. */
 export interface RequestCare {
@@ -24,6 +25,8 @@
     readonly isSuspect: () => boolean;
     /** Takes in why an attempt at `target` failed. */
     readonly noteFailure: (target: TargetMember, failure: RequestFailure) => void;
+    /** The answer, watched for its end if that can tell anything. */
+    readonly watchAnswer: (answer: Answer) => Answer;
 }
 
 /** Creates the treatment of one request. */
@@ -38,8 +41,9 @@
         const result = await send(target, care.isSuspect(), context);
         if (either.isLeft(result.outcome)) {
             care.noteFailure(target, result.outcome.left);
+            return result;
         }
-        return result;
+        return { ...result, outcome: either.right(care.watchAnswer(result.outcome.right)) };
     };
 
 const FREE: Judgement = { kind: "Free" };
@@ -54,6 +58,7 @@
 /** Creates treatments; the name of a request is computed when something is held against any. */
 export const createRequestCare = (containment: GatewayContainment): CreateRequestCare => (request, body) => {
     let fingerprint: Fingerprint | undefined;
+    let hasCrashed = false;
     const name = (): Fingerprint => fingerprint ??= fingerprintRequest(request, body);
     const judge = (): Judgement => containment.hasSuspects() ? containment.judge(name()) : FREE;
 
@@ -61,7 +66,7 @@
         findObstacle: (attempts) => {
             const judgement = judge();
             // Sent on, a request that has just crashed its second target would take the third one with it.
-            const mustStop = attempts > 0 && judgement.kind === "Probation";
+            const mustStop = attempts > 0 && hasCrashed && judgement.kind === "Probation";
             return mustStop ?
                 { kind: "Refused", verdict: "notRun", reason: "Contained", retryAfterMs: 0 } :
                 refuseContained(containment, judgement);
@@ -70,8 +75,21 @@
         isSuspect: () => judge().kind !== "Free",
         noteFailure: ({ nodeId }, failure) => {
             if (failure.kind === "AnswerLost" && failure.crash !== undefined) {
+                hasCrashed = true;
                 containment.noteCrash(failure.crash, nodeId, name());
             }
         },
+        watchAnswer: (answer) => !containment.hasSuspects() || answer.statusCode >= FIRST_ERROR_STATUS ?
+            answer :
+            {
+                ...answer,
+                body: observeBody(answer.body, {
+                    onFinish: (failure) => {
+                        if (failure === undefined) {
+                            containment.hearGoodRun(name());
+                        }
+                    },
+                }),
+            },
     };
 };
--- a/packages/oleandergap-standins/src/target/targetControl.ts
+++ b/packages/oleandergap-standins/src/target/targetControl.ts
@@ -5,7 +5,7 @@
  * - `GET /control/runs`: runs per key over all targets of the process;
  * - `GET /control/targets`: every target with its counters;
  * - `PUT /control/targets/<id>/faults`: replaces the target's switches;
- * - `POST /control/targets/<id>/{leave,stop,crash,silence}`.
+ * - `POST /control/targets/<id>/{leave,stop,crash,restart,silence}`.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { describeInputError } from "../http/describeInputError.js";
@@ -39,7 +39,7 @@
 
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
-const TARGET_PATH = /^\/control\/targets\/([^/]+)\/(faults|leave|stop|crash|silence)$/;
+const TARGET_PATH = /^\/control\/targets\/([^/]+)\/(faults|leave|stop|crash|restart|silence)$/;
 
 const reportRuns = (targets: readonly TargetStandIn[]): RunsReport => ({
     total: targets.reduce((sum, target) => sum + target.runLog.total(), 0),
@@ -71,6 +71,9 @@
         case "crash":
             await target.crash();
             return { crashed: true };
+        case "restart":
+            target.restart();
+            return { restarted: true };
         default:
             return { silenced: target.silenceConnections() };
     }
--- a/packages/oleandergap-standins/src/target/targetStandIn.ts
+++ b/packages/oleandergap-standins/src/target/targetStandIn.ts
@@ -36,6 +36,8 @@
     readonly stop: () => Promise<void>;
     /** Ends at once and resets every connection; the node isn't told. */
     readonly crash: () => Promise<void>;
+    /** Ends in the same way, and starts again after the time that its switches name. */
+    readonly restart: () => void;
 }
 
 /** What tests replace; by default the system's clock and random numbers from the options' seed. */
@@ -253,6 +255,7 @@
         silenceConnections: () => silenceOpenConnections(state),
         leave,
         stop,
+        restart: state.crash,
         crash: async () => {
             isStopped = true;
             await end();
