--- a/packages/oleandergap-demo/src/check/runCheck.ts
+++ b/packages/oleandergap-demo/src/check/runCheck.ts
@@ -7,6 +7,7 @@
 import { startFleet } from "../fleet/startFleet.js";
 import type { FleetPlan } from "../plan/fleetPlan.js";
 import type { CheckContext } from "./checkContext.js";
+import { containRequest } from "./containRequest.js";
 import { drainOneTarget } from "./drainTarget.js";
 import { followChanges } from "./followChange.js";
 import { restorePlatform } from "./restorePlatform.js";
@@ -37,6 +38,8 @@
     await followChanges(context);
     await serveEveryService(context);
     await restorePlatform(context);
+    await containRequest(context);
+    await serveEveryService(context);
     await drainOneTarget(context);
     return reportUsage(context);
 };
