Evidence costs little where there is much of it

Each crash and good run then went through all of them, and each comparison of two nodes, which differ all the time under such a load, sent all of them: some 60 datagrams each way and second, from VMs with narrow links.

Change: the book keeps the set of suspects and computes its digest when it is asked for; nodes compare only requests with two open crashes, from which on something is refused; a list holds the 256 requests that matter most; what changed is looked at, not all.

--- a/packages/oleandergap-containment/src/__tests__/evidenceBook.test.ts
+++ b/packages/oleandergap-containment/src/__tests__/evidenceBook.test.ts
@@ -51,9 +51,8 @@
 
         expect(kinds).to.deep.equal(["Suspect", "Probation", "Contained"]);
         const crashes = [1, 2, 3].map((crash) => ({ crash: `c-${crash}`, node: `node-${crash}` }));
-        expect(book.listContained(3)).to.deep.equal([
-            { fingerprint: CRASHER, since: 3, until: 3 + holdMs, crashes },
-        ]);
+        expect(book.findContained(CRASHER, 3))
+            .to.deep.equal({ fingerprint: CRASHER, since: 3, until: 3 + holdMs, crashes });
     });
 
     it("counts a crash once, however often it is told", () => {
@@ -147,6 +146,20 @@
         expect(book.judge(CRASHER, 60).kind).to.equal("Contained");
     });
 
+    it("lists what matters most when there is much, and no more than a few datagrams hold", () => {
+        const book = createBook();
+        crashThrice(book, CRASHER);
+        for (let crash = 10; crash < 1000; crash++) {
+            book.noteCrash(report(crash, crash, nameOf(`varied-${crash}`)));
+        }
+        const { crashes } = book.list();
+        const names = crashes.flatMap(({ fingerprints }) => fingerprints);
+
+        expect(new Set(names).size).to.equal(256);
+        expect(names.filter((name) => name === CRASHER).length).to.equal(3);
+        expect(book.digest()).to.not.equal(0);
+    });
+
     it("comes to the same judgements as another one, whatever came in which order, once they have told each other", () => {
         const names = [CRASHER, POPULAR, OTHER];
         const crash = fastCheck.record({
--- a/packages/oleandergap-containment/src/containment.ts
+++ b/packages/oleandergap-containment/src/containment.ts
@@ -69,7 +69,7 @@
     const ownPrefix = `${hashText(`${nodeId}/${bootId}`).toString(BASE_36)}-`;
     let ownCrashes = 0;
     /** Crashes of each request that is refused. */
-    let contained: ReadonlyMap<Fingerprint, number> = new Map();
+    const contained = new Map<Fingerprint, number>();
 
     const noteContained = (request: ContainedRequest): void => {
         const { fingerprint, crashes, until } = request;
@@ -87,17 +87,23 @@
         rows.remove(fingerprint);
     };
 
-    /** Takes in what new evidence has changed: one line at the beginning and at the end of each containment. */
-    const noteChanges = (): void => {
-        const requests = book.listContained(clock.monotonic());
-        requests
-            .filter(({ fingerprint, crashes }) => contained.get(fingerprint) !== crashes.length)
-            .forEach(noteContained);
-        const former = contained;
-        contained = new Map(requests.map(({ fingerprint, crashes }) => [fingerprint, crashes.length]));
-        [...former.keys()].filter((fingerprint) => !contained.has(fingerprint)).forEach(noteReleased);
+    const noteChange = (fingerprint: Fingerprint): void => {
+        const request = book.findContained(fingerprint, clock.monotonic());
+        const crashes = request?.crashes.length ?? 0;
+        const former = contained.get(fingerprint) ?? 0;
+        if (request !== undefined && crashes !== former) {
+            contained.set(fingerprint, crashes);
+            noteContained(request);
+        }
+        if (request === undefined && contained.delete(fingerprint)) {
+            noteReleased(fingerprint);
+        }
     };
 
+    /** Takes in what new evidence has changed: one line at the beginning and at the end of each containment. */
+    const noteChanges = (touched: readonly Fingerprint[]): void =>
+        new Set([...touched, ...contained.keys()]).forEach(noteChange);
+
     const spread = createEvidenceSpread({
         clock, random, logger, book, network, loadContained: rows.load, onChange: noteChanges, signal,
     });
@@ -110,10 +116,13 @@
         logger.warn("The target ended beside runs.", { crash, running: fingerprints.join(" ") });
         book.noteCrash(report);
         spread.tellCrash(report);
-        noteChanges();
+        noteChanges(fingerprints);
         return crash;
     };
 
+    const listContained = (): readonly ContainedRequest[] =>
+        [...contained.keys()].flatMap((fingerprint) => book.findContained(fingerprint, clock.monotonic()) ?? []);
+
     return {
         start: spread.start,
         receive: spread.receive,
@@ -123,26 +132,26 @@
         noteOwnCrash,
         noteCrash: (crash, node, fingerprint) => {
             book.noteCrash({ crash, node, at: clock.monotonic(), fingerprints: [fingerprint] });
-            noteChanges();
+            noteChanges([fingerprint]);
         },
         noteGoodRun: (fingerprint) => {
             const run = { fingerprint, at: clock.monotonic() };
             const isUrgent = book.judge(fingerprint, run.at).kind !== "Suspect";
             if (book.noteGoodRun(run)) {
                 spread.tellGoodRun(run, isUrgent);
-                noteChanges();
+                noteChanges([fingerprint]);
             }
         },
         hearGoodRun: (fingerprint) => {
             if (book.noteGoodRun({ fingerprint, at: clock.monotonic() })) {
-                noteChanges();
+                noteChanges([fingerprint]);
             }
         },
-        listContained: () => book.listContained(clock.monotonic()),
+        listContained,
         stats: () => ({
             ownCrashes,
             suspects: book.size(),
-            contained: book.listContained(clock.monotonic()).length,
+            contained: listContained().length,
         }),
     };
 };
--- a/packages/oleandergap-containment/src/evidenceBook.ts
+++ b/packages/oleandergap-containment/src/evidenceBook.ts
@@ -40,11 +40,12 @@
     readonly judge: (fingerprint: Fingerprint, now: Milliseconds) => Judgement;
     /** Whether anything is held against any request; while not, no request needs to be named. */
     readonly hasSuspects: () => boolean;
-    /** Equal at two nodes that hold the same against the same requests; 0 without any. */
+    /** Equal at two nodes that hold the same against the same requests, of those with two crashes; 0 without any. */
     readonly digest: () => number;
-    /** All that is held, to be told to a node that knows less. */
+    /** What is held, to be told to a node that knows less; of much, what matters most. */
     readonly list: () => Evidence;
-    readonly listContained: (now: Milliseconds) => readonly ContainedRequest[];
+    /** The request as it is refused now; undefined while it is not. */
+    readonly findContained: (fingerprint: Fingerprint, now: Milliseconds) => ContainedRequest | undefined;
     /** Drops what is too old, and what is too much. */
     readonly prune: (now: Milliseconds) => void;
     /** Requests of which anything is held. */
@@ -61,23 +62,43 @@
     listOpenCrashes(left.record).length - listOpenCrashes(right.record).length ||
     lastCrashAt(left.record) - lastCrashAt(right.record);
 
+/** Crashes of a request from which on nodes compare what they hold: with one, nothing is refused. */
+const COMPARED_CRASHES = 2;
+/** Requests of a list: a few datagrams, whatever is held. */
+const MOST_LISTED = 256;
+
+const computeDigest = (entries: readonly Entry[]): number => {
+    const compared = entries
+        .map(({ fingerprint, record }) => ({ fingerprint, crashes: listOpenCrashes(record) }))
+        .filter(({ crashes }) => crashes.length >= COMPARED_CRASHES)
+        .map(({ fingerprint, crashes }) => `${fingerprint} ${[...crashes].sort().join()}`);
+    return compared.length === 0 ? 0 : hashText(compared.sort().join());
+};
+
 /** Starts empty. */
 export const createEvidenceBook = (options: ContainmentOptions): EvidenceBook => {
     const records = new Map<Fingerprint, SuspectRecord>();
     const crashedNodes = new Map<CrashId, NodeId>();
-    let suspects = 0;
-    let digest = 0;
+    /** Those with open crashes. */
+    const suspects = new Set<Fingerprint>();
+    let digest: number | undefined = 0;
 
     const listEntries = (): readonly Entry[] => [...records].map(([fingerprint, record]) => ({ fingerprint, record }));
 
-    const recount = (): void => {
-        const held = listEntries()
-            .map(({ fingerprint, record }) => ({ fingerprint, crashes: listOpenCrashes(record) }))
-            .filter(({ crashes }) => crashes.length > 0);
-        suspects = held.length;
-        digest = suspects === 0 ?
-            0 :
-            hashText(held.map(({ fingerprint, crashes }) => `${fingerprint} ${[...crashes].sort().join()}`).sort().join());
+    const noteChange = (fingerprint: Fingerprint): void => {
+        const record = records.get(fingerprint);
+        if (record !== undefined && listOpenCrashes(record).length > 0) {
+            suspects.add(fingerprint);
+        }
+        else {
+            suspects.delete(fingerprint);
+        }
+        digest = undefined;
+    };
+
+    const drop = (fingerprint: Fingerprint): void => {
+        records.delete(fingerprint);
+        noteChange(fingerprint);
     };
 
     const findRecord = (fingerprint: Fingerprint): SuspectRecord => {
@@ -92,9 +113,7 @@
     const dropWorthless = (): void => {
         const surplus = records.size - options.mostSuspects;
         if (surplus > 0) {
-            for (const { fingerprint } of [...listEntries()].sort(compareWorth).slice(0, surplus)) {
-                records.delete(fingerprint);
-            }
+            [...listEntries()].sort(compareWorth).slice(0, surplus).forEach(({ fingerprint }) => drop(fingerprint));
         }
     };
 
@@ -116,9 +135,9 @@
         crashedNodes.set(crash, node);
         for (const fingerprint of fingerprints) {
             findRecord(fingerprint).crashes.set(crash, at);
+            noteChange(fingerprint);
         }
         dropWorthless();
-        recount();
         return { ...report, fingerprints };
     };
 
@@ -130,13 +149,14 @@
             return false;
         }
         record.goodRunAt = at;
-        recount();
+        noteChange(fingerprint);
         return true;
     };
 
     const list = (): Evidence => {
         const reports = new Map<CrashId, { readonly at: Milliseconds; readonly fingerprints: Fingerprint[] }>();
-        for (const { fingerprint, record } of listEntries()) {
+        const listed = [...listEntries()].sort(compareWorth).slice(-MOST_LISTED);
+        for (const { fingerprint, record } of listed) {
             for (const crash of listOpenCrashes(record)) {
                 const report = reports.get(crash) ?? { at: record.crashes.get(crash) ?? 0, fingerprints: [] };
                 report.fingerprints.push(fingerprint);
@@ -145,23 +165,20 @@
         }
         return {
             crashes: [...reports].map(([crash, report]) => ({ crash, node: crashedNodes.get(crash) ?? "", ...report })),
-            goodRuns: listEntries()
+            goodRuns: listed
                 .filter(({ record }) => Number.isFinite(record.goodRunAt))
                 .map(({ fingerprint, record }) => ({ fingerprint, at: record.goodRunAt })),
         };
     };
 
-    const describeContained = ({ fingerprint, record }: Entry, now: Milliseconds): readonly ContainedRequest[] => {
-        const judgement = judgeSuspect(record, now, options);
-        const crashes = listOpenCrashes(record);
-        return judgement.kind === "Contained" ?
-            [{
-                fingerprint,
-                since: lastCrashAt(record),
-                until: judgement.until,
-                crashes: crashes.map((crash) => ({ crash, node: crashedNodes.get(crash) ?? "" })),
-            }] :
-            [];
+    const findContained: EvidenceBook["findContained"] = (fingerprint, now) => {
+        const record = records.get(fingerprint);
+        const judgement = record && judgeSuspect(record, now, options);
+        if (record === undefined || judgement?.kind !== "Contained") {
+            return undefined;
+        }
+        const crashes = listOpenCrashes(record).map((crash) => ({ crash, node: crashedNodes.get(crash) ?? "" }));
+        return { fingerprint, since: lastCrashAt(record), until: judgement.until, crashes };
     };
 
     return {
@@ -171,18 +188,17 @@
             const record = records.get(fingerprint);
             return record === undefined ? { kind: "Free" } : judgeSuspect(record, now, options);
         },
-        hasSuspects: () => suspects > 0,
-        digest: () => digest,
+        hasSuspects: () => suspects.size > 0,
+        digest: () => digest ??= computeDigest(listEntries()),
         list,
-        listContained: (now) => listEntries().flatMap((entry) => describeContained(entry, now)),
+        findContained,
         prune: (now) => {
             for (const { fingerprint, record } of listEntries()) {
                 if (forgetAt(record, options) <= now) {
-                    records.delete(fingerprint);
+                    drop(fingerprint);
                 }
             }
             dropUnnamedCrashes();
-            recount();
         },
         size: () => records.size,
     };
--- a/packages/oleandergap-containment/src/evidenceSpread.ts
+++ b/packages/oleandergap-containment/src/evidenceSpread.ts
@@ -9,6 +9,7 @@
 import type { CrashReport, Evidence, GoodRun } from "./evidence.js";
 import type { EvidenceBook } from "./evidenceBook.js";
 import { describeEvidence, readEvidence, type EvidenceMessage } from "./evidenceMessage.js";
+import type { Fingerprint } from "./fingerprint.js";
 import { createInformer } from "./informer.js";
 
 /** Members of the zone that are told of what this node has seen, or heard from another zone; of ten nodes all. */
@@ -47,8 +48,8 @@
     readonly network: EvidenceNetwork<Peer>;
     /** What was contained when all nodes were gone; undefined when nobody wants to know any more. */
     readonly loadContained: (isWanted: () => boolean) => Promise<Evidence | undefined>;
-    /** Called after evidence of others has changed the book. */
-    readonly onChange: () => void;
+    /** Told which requests evidence of others was about. */
+    readonly onChange: (touched: readonly Fingerprint[]) => void;
     readonly signal: AbortSignal;
 }
 
@@ -63,6 +64,9 @@
     readonly receive: (from: Peer, message: EvidenceMessage) => void;
 }
 
+const listNames = ({ crashes, goodRuns }: Evidence): readonly Fingerprint[] =>
+    [...crashes.flatMap(({ fingerprints }) => fingerprints), ...goodRuns.map(({ fingerprint }) => fingerprint)];
+
 /** Creates the spread; it ends when the signal aborts. */
 export const createEvidenceSpread = <Peer>(
     { clock, random, logger, book, network, loadContained, onChange, signal }: EvidenceSpreadDependencies<Peer>,
@@ -117,7 +121,7 @@
         const goodRuns = evidence.goodRuns.filter(book.noteGoodRun);
         if (crashes.length > 0 || goodRuns.length > 0) {
             tellOn(from, { crashes, goodRuns });
-            onChange();
+            onChange(listNames({ crashes, goodRuns }));
         }
     };
 
@@ -148,7 +152,7 @@
         evidence.crashes.forEach(book.noteCrash);
         tellAll(evidence);
         pickPeers(FANOUT).forEach((peer) => network.send(peer, { kind: "Compared", isInformed: true }));
-        onChange();
+        onChange(listNames(evidence));
     };
 
     const informer = createInformer({
@@ -168,7 +172,7 @@
                 return;
             }
             book.prune(clock.monotonic());
-            if (book.hasSuspects()) {
+            if (book.digest() !== 0) {
                 pickPeers(1).forEach((peer) => compare(peer, false));
                 pickSeveral(random, network.contacts(), 1).forEach((peer) => compare(peer, false));
             }
