Good runs are told at once only where a request is about to be refused; the spread's timers share their turns

Read in the diff: a good run of a request with one crash, trusted for an earlier good run, was told at once as well, one message for each gate that runs a popular read, after each crash. And the comparison woke each node once a second by a timer of its own, also with nothing to compare; it now runs on the background clock. Tests of the containment, of gates and of the fleet of real daemons pass (44).

--- a/packages/oleandergap-containment/src/containment.ts
+++ b/packages/oleandergap-containment/src/containment.ts
@@ -136,7 +136,8 @@
         },
         noteGoodRun: (fingerprint) => {
             const run = { fingerprint, at: clock.monotonic() };
-            const isUrgent = book.judge(fingerprint, run.at).kind !== "Suspect";
+            const { kind } = book.judge(fingerprint, run.at);
+            const isUrgent = kind === "Probation" || kind === "Contained";
             if (book.noteGoodRun(run)) {
                 spread.tellGoodRun(run, isUrgent);
                 noteChanges([fingerprint]);
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -149,7 +149,7 @@
     const containment = createContainment<Contact>({
         nodeId,
         bootId,
-        clock,
+        clock: backgroundClock,
         random,
         logger: createPartLogger("containment"),
         options: options.containment,
