Crashes that good runs took back are dropped after ten seconds

Found in the review of the diff: each crash beside a popular read stayed in its record for an hour, and each judgement of a request goes through its record; beside targets that crash of themselves once a second that were up to 3,600 entries at each request.

Change: a good run drops crashes that are older by ten seconds; a crash that is told again and lies before the last good run is no news.

--- a/packages/oleandergap-containment/src/evidenceBook.ts
+++ b/packages/oleandergap-containment/src/evidenceBook.ts
@@ -10,9 +10,11 @@
 import {
     createSuspectRecord,
     forgetAt,
+    isNewCrash,
     judgeSuspect,
     lastCrashAt,
     listOpenCrashes,
+    takeBackCrashes,
     type SuspectRecord,
 } from "./suspectRecord.js";
 
@@ -128,7 +130,10 @@
 
     const noteCrash: EvidenceBook["noteCrash"] = (report) => {
         const { crash, node, at } = report;
-        const fingerprints = report.fingerprints.filter((name) => records.get(name)?.crashes.has(crash) !== true);
+        const fingerprints = report.fingerprints.filter((name) => {
+            const record = records.get(name);
+            return record === undefined || isNewCrash(record, crash, at);
+        });
         if (fingerprints.length === 0) {
             return undefined;
         }
@@ -143,12 +148,9 @@
 
     const noteGoodRun: EvidenceBook["noteGoodRun"] = ({ fingerprint, at }) => {
         const record = records.get(fingerprint);
-        const takesBack = record !== undefined && [...record.crashes.values()]
-            .some((crashAt) => crashAt > record.goodRunAt && crashAt <= at);
-        if (record === undefined || !takesBack) {
+        if (record === undefined || !takeBackCrashes(record, at)) {
             return false;
         }
-        record.goodRunAt = at;
         noteChange(fingerprint);
         return true;
     };
--- a/packages/oleandergap-containment/src/suspectRecord.ts
+++ b/packages/oleandergap-containment/src/suspectRecord.ts
@@ -24,6 +24,27 @@
     goodRunAt: Number.NEGATIVE_INFINITY,
 });
 
+/** A crash is told again within this time; its id is kept so long, so that it does not count anew. */
+const TOLD_AGAIN_MS: Milliseconds = 10_000;
+
+/** Takes in a good run; false when it takes no crash back. */
+export const takeBackCrashes = (record: SuspectRecord, at: Milliseconds): boolean => {
+    const takesBack = [...record.crashes.values()].some((crashAt) => crashAt > record.goodRunAt && crashAt <= at);
+    if (takesBack) {
+        record.goodRunAt = at;
+        for (const [crash, crashAt] of record.crashes) {
+            if (crashAt < at - TOLD_AGAIN_MS) {
+                record.crashes.delete(crash);
+            }
+        }
+    }
+    return takesBack;
+};
+
+/** Whether a crash would say something new of the request. */
+export const isNewCrash = (record: SuspectRecord, crash: CrashId, at: Milliseconds): boolean =>
+    at > record.goodRunAt && !record.crashes.has(crash);
+
 /** Crashes that no good run has taken back. */
 export const listOpenCrashes = ({ crashes, goodRunAt }: SuspectRecord): readonly CrashId[] =>
     [...crashes].filter(([, at]) => at > goodRunAt).map(([crash]) => crash);
--- a/packages/oleandergap-node/src/gateway/requestCare.ts
+++ b/packages/oleandergap-node/src/gateway/requestCare.ts
@@ -13,7 +13,10 @@
 import type { GateOutcome } from "./sendToGate.js";
 
 /** The part of the containment that the gateway asks and tells. */
-export type GatewayContainment = Pick<Containment<never>, "hasSuspects" | "judge" | "retryAfter" | "noteCrash" | "hearGoodRun">;
+export type GatewayContainment = Pick<
+    Containment<never>,
+    "hasSuspects" | "judge" | "retryAfter" | "noteCrash" | "hearGoodRun"
+>;
 
 /** The treatment of one request. */
 export interface RequestCare {
