The loss of a run is told without waiting for a target that takes no connection

A full target accepts late, and the answer to its losses, and with it the try elsewhere, waited up to 250 ms.

Change: the answer waits 25 ms at most; a crash that is found later is told to all nodes as before.

--- a/packages/oleandergap-node/src/__tests__/crashes.test.ts
+++ b/packages/oleandergap-node/src/__tests__/crashes.test.ts
@@ -3,6 +3,8 @@
 import { expect } from "chai";
 import type { Containment } from "oleandergap-containment";
 import { createManualClock, createSystemClock } from "oleandergap-utils";
+import { createCrashWatch } from "../gate/crashWatch.js";
+import type { GateRequest } from "../gate/gateRequest.js";
 import { fingerprintRequest } from "../http/requestFingerprint.js";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
 import {
@@ -108,6 +110,27 @@
             .to.deep.equal(["Suspect", "Free"]);
     });
 
+    it("is told without delay, although its target takes no connection", async () => {
+        const manual = createManualClock();
+        const gateOf = (): never => ({ gate: {}, leaving: false, succeeds: undefined, announcement: {} }) as never;
+        const target = gateOf();
+        const watch = createCrashWatch({
+            clock: manual,
+            isGone: () => new Promise(() => undefined),
+            currentTarget: () => target,
+            noteCrash: () => "crash",
+            loseTarget: () => undefined,
+        });
+        const request = { method: "GET", host: HOST, path: "/read", body: { kind: "Empty" } } as unknown as GateRequest;
+        let explained: unknown = "waits";
+        void watch.begin(target, request).end("Lost").then((crash) => {
+            explained = crash;
+        });
+        await manual.advance(25);
+
+        expect(explained).to.equal(undefined);
+    });
+
     it("is not blamed when its target has left before another one takes its place", async () => {
         const containment = createLoneContainment(clock);
         const port = await startRawTarget(cleanup.add, (socket) => socket.once("data", () => socket.destroy()));
--- a/packages/oleandergap-node/src/gate/crashWatch.ts
+++ b/packages/oleandergap-node/src/gate/crashWatch.ts
@@ -73,6 +73,8 @@
 const MOST_ENDED = 128;
 /** On one VM a connection opens or is refused within a few milliseconds, also under load. */
 const CONNECT_LIMIT_MS: Milliseconds = 250;
+/** Time for which the answer to a lost run waits for its explanation; other nodes are told of a crash in any case. */
+const LONGEST_EXPLANATION_MS: Milliseconds = 25;
 /** A port without a listener; a connection that was made and then reset is no sign of an end. */
 const REFUSED = "ECONNREFUSED";
 
@@ -136,12 +138,22 @@
         return lifetime.crash;
     };
 
+    /** A full target takes its time to accept a connection; who waits for the answer that was lost must not. */
+    const awaitBriefly = (explanation: Promise<CrashId | undefined>): Promise<CrashId | undefined> =>
+        new Promise((resolve) => {
+            const cancel = clock.after(LONGEST_EXPLANATION_MS, () => resolve(undefined));
+            void explanation.then((crash) => {
+                cancel();
+                resolve(crash);
+            });
+        });
+
     const explainLoss = (target: LocalTarget, lifetime: Lifetime): Promise<CrashId | undefined> => {
         if (lifetime.crash !== undefined || !isInPlace(target)) {
             return Promise.resolve(lifetime.crash);
         }
         lifetime.check ??= check(target, lifetime);
-        return lifetime.check;
+        return awaitBriefly(lifetime.check);
     };
 
     /** What the target before it lost was lost to its end, if that came without a word. */
