--- a/packages/oleandergap-containment/src/containment.ts
+++ b/packages/oleandergap-containment/src/containment.ts
@@ -53,7 +53,6 @@
     readonly noteGoodRun: (fingerprint: Fingerprint) => void;
     /** Another node's target did; that node tells the others. */
     readonly hearGoodRun: (fingerprint: Fingerprint) => void;
-    readonly listContained: () => readonly ContainedRequest[];
     readonly stats: () => ContainmentStatistics;
 }
 
@@ -120,8 +119,8 @@
         return crash;
     };
 
-    const listContained = (): readonly ContainedRequest[] =>
-        [...contained.keys()].flatMap((fingerprint) => book.findContained(fingerprint, clock.monotonic()) ?? []);
+    const countContained = (): number =>
+        [...contained.keys()].filter((fingerprint) => book.findContained(fingerprint, clock.monotonic())).length;
 
     return {
         start: spread.start,
@@ -148,11 +147,10 @@
                 noteChanges([fingerprint]);
             }
         },
-        listContained,
         stats: () => ({
             ownCrashes,
             suspects: book.size(),
-            contained: listContained().length,
+            contained: countContained(),
         }),
     };
 };
--- a/packages/oleandergap-node/src/__tests__/crashModel.ts
+++ b/packages/oleandergap-node/src/__tests__/crashModel.ts
@@ -52,7 +52,6 @@
 }
 
 interface ModelNode {
-    readonly index: number;
     readonly member: TargetMember;
     containment: Containment<ModelNode>;
     serve: ServeAtGate;
@@ -66,6 +65,7 @@
 }
 
 export const CONTACT_MS: Milliseconds = 3000;
+const CUT_MS: Milliseconds = 3000;
 const DURATION_MS: Milliseconds = 12_000;
 const DOWN_MS: Milliseconds = 3000;
 const DEADLINE_MS: Milliseconds = 1500;
@@ -103,11 +103,15 @@
     const zoneOf = (node: ModelNode): string => node.member.zone;
     const isCut = (one: ModelNode, other: ModelNode): boolean => {
         const time = clock.monotonic() - startedAt;
-        const isDue = cut !== undefined && time >= cut.from && time < cut.from + 3000;
+        const isDue = cut !== undefined && time >= cut.from && time < cut.from + CUT_MS;
         return isDue && (zoneOf(one) === `zone-${cut.zone}`) !== (zoneOf(other) === `zone-${cut.zone}`);
     };
-    const isInTouch = (node: ModelNode): boolean =>
-        clock.monotonic() - node.startedAt >= CONTACT_MS && cut === undefined;
+    /** Whether a node has run, and no cut has been, for long enough to know what the others do. */
+    const isInTouch = (node: ModelNode): boolean => {
+        const time = clock.monotonic() - startedAt;
+        const wasCut = cut !== undefined && time >= cut.from && time < cut.from + CUT_MS + CONTACT_MS;
+        return clock.monotonic() - node.startedAt >= CONTACT_MS && !wasCut;
+    };
 
     const send = (from: ModelNode, to: ModelNode, message: EvidenceMessage): void => {
         if (isMute !== true && !isCut(from, to) && random() >= loss) {
@@ -214,7 +218,6 @@
     };
 
     const nodes = Array.from({ length: 4 + pickIndex(random, 7) }, (_, index): ModelNode => ({
-        index,
         member: {
             nodeId: `node-${index}`, zone: `zone-${index % ZONES}`, address: "127.0.0.1", gatePort: 1, slots,
             leaving: false, since: 0,
