Roll-outs: a service moves to a new version, judged by the outcomes of its requests

Cause: the platform's new order op/rollout/SERVICE, its status row and the rule on the exposure of bad versions were unbuilt; what a target announces as its version was not even kept.

Nodes hold orders and reports of targets in memory and exchange them by datagram; gates count outcomes of the old and the new version by kind of request; every node judges them with sequential probability ratio tests (restarted at zero, so that late faults count) and stops a bad version by itself. A gateway sends an exact share of its requests to few targets of the new version, retries go to the old one. The states that must last are written once, under a condition on the row; the operator's status changes in the same transaction. The gate of a stopped version refuses, so that a gateway that knows nothing yet does no harm.

The bootstrap of evidence on crashes moved to utils, because roll-outs need the same one.

Weighed: the order as a cell of the table (needs sequences that merge two rows of the store, on the path of versions); versions in member records (nodes of the old build drop such records). The reports carry the version instead.

--- a/packages/oleandergap-containment/src/evidenceGossip.ts
+++ b/packages/oleandergap-containment/src/evidenceGossip.ts
@@ -6,12 +6,11 @@
  */
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds } from "oleandergap-types";
-import { createTokenBucket, pickSeveral, type Random } from "oleandergap-utils";
+import { createPeerBootstrap, createTokenBucket, pickSeveral, type Random } from "oleandergap-utils";
 import type { CrashReport, Evidence, GoodRun } from "./evidence.js";
 import type { EvidenceStore } from "./evidenceStore.js";
 import { decodeEvidence, encodeEvidence, type EvidenceMessage } from "./evidenceMessage.js";
 import type { Fingerprint } from "./fingerprint.js";
-import { createEvidenceBootstrap } from "./evidenceBootstrap.js";
 
 /**
  * Number of zone members to which a node sends evidence of its target or evidence from another zone. In a zone of ten
@@ -166,16 +165,16 @@
 
     /** Sends the stored evidence to the zone immediately, so that the other members need not read it too. */
     const handleLoadedEvidence = (evidence: Evidence): void => {
+        logger.info("Contained requests were read.", { crashes: evidence.crashes.length });
         evidence.crashes.forEach(evidenceStore.recordCrash);
         sendToMembersAndContacts(evidence);
         pickPeers(FANOUT).forEach((peer) => network.send(peer, { kind: "Compared", isInformed: true }));
         onChange(listFingerprints(evidence));
     };
 
-    const bootstrap = createEvidenceBootstrap({
+    const bootstrap = createPeerBootstrap<Evidence>({
         clock,
         random,
-        logger,
         queryPeers: () => pickPeers(PEERS_PER_QUERY).forEach((peer) => sendComparison(peer, false)),
         isFirstInZone: network.isFirstInZone,
         load: loadContained,
--- a/packages/oleandergap-membership/src/messageTransport.ts
+++ b/packages/oleandergap-membership/src/messageTransport.ts
@@ -39,8 +39,8 @@
     /** Sender that is named in outgoing messages. */
     readonly self: Pick<Member, "id" | "zone">;
     /**
-     * First byte of the component's datagrams, 0xc0 or 0xc1. Membership datagrams are MessagePack arrays, which never
-     * start with one of these bytes.
+     * First byte of the component's datagrams, from 0xc0 to 0xc3. Membership datagrams are MessagePack arrays, which
+     * never start with one of these bytes.
      */
     readonly markerByte: number;
     readonly schema: z.ZodType<Message>;
--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -6,7 +6,7 @@
 import type { Clock, PartnerTable, ServiceRow, TableView } from "oleandergap-types";
 import { createSeededRandom } from "oleandergap-utils";
 import type { AdmissionRefusal } from "../admin/readiness.js";
-import { createGatewayHandler } from "../gateway/gatewayHandler.js";
+import { createGatewayHandler, type GatewayHandlerDependencies } from "../gateway/gatewayHandler.js";
 import type { FindOwnerRouter } from "../gateway/ownerRouting.js";
 import { createElapsedWaitEstimator } from "../gateway/elapsedWaitEstimator.js";
 import { createRequestContainment } from "../gateway/requestContainment.js";
@@ -63,6 +63,7 @@
     readonly gateSilenceMs?: number;
     readonly logUnresponsiveGate?: LogUnresponsiveGate;
     readonly containment?: Containment<never>;
+    readonly splitTargets?: GatewayHandlerDependencies["splitTargets"];
     readonly turns?: ListenerOptions["turns"];
 }
 
@@ -83,6 +84,7 @@
         estimateElapsedWait: createElapsedWaitEstimator(),
         view: options.view ?? (() => view),
         findTargets: () => targets,
+        splitTargets: options.splitTargets ?? (() => undefined),
         router: createRequestRouter({ clock, picker }),
         findOwnerRouter: options.findOwnerRouter ?? (() => undefined),
         send: createSendToGate({
--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -81,6 +81,7 @@
                 membership: { start: resolveImmediately, leave: leaveMembership },
                 directory: { start: () => undefined },
                 containment: { start: () => undefined },
+                rollouts: { start: () => undefined },
                 spread: {
                     start: () => undefined,
                     recover: isRecovered ? async () => ({ kind: "Recovered", source: "zone" }) : neverResolve,
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -5,9 +5,11 @@
 import { createGate, defaultGateOptions } from "oleandergap-gate";
 import type { ClaimManager, ClaimRequest, ClaimResult } from "oleandergap-idempotency";
 import { createLogger } from "oleandergap-logger";
+import { createRollouts, defaultRolloutOptions, type LocalTargetState, type Rollouts } from "oleandergap-rollout";
 import { createMemoryTableService } from "oleandergap-platform";
 import type { Announcement, Clock, Limit, MemberTarget } from "oleandergap-types";
 import { createContainment, defaultContainmentOptions, type Containment } from "oleandergap-containment";
+import { createRolloutObserver } from "../gate/rolloutObserver.js";
 import { createContainmentGuard } from "../gate/containmentGuard.js";
 import { createTargetRunObserver } from "../gate/createTargetRunObserver.js";
 import { createGateHandler } from "../gate/gateHandler.js";
@@ -225,6 +227,23 @@
     signal: new AbortController().signal,
 });
 
+/** Creates the roll-outs of a node that has no peers. */
+export const createIsolatedRollouts = <Peer = never>(
+    clock: Clock,
+    findLocalTarget: () => LocalTargetState | undefined = () => undefined,
+): Rollouts<Peer> => createRollouts<Peer>({
+    nodeId: "lone",
+    clock,
+    random: () => 0,
+    logger: createLogger("test"),
+    options: defaultRolloutOptions,
+    network: { members: () => [], contacts: () => [], isFirstInZone: () => true, send: () => undefined },
+    findZoneRank: () => 0,
+    tableService: createMemoryTableService(),
+    findLocalTarget,
+    signal: new AbortController().signal,
+});
+
 export interface GateHarness {
     readonly port: number;
     readonly listener: Listener;
@@ -239,6 +258,7 @@
     readonly limit?: Limit;
     readonly claims?: Claims;
     readonly containment?: Containment<never>;
+    readonly rollouts?: Rollouts<never>;
     /**
      * Resolves when pending input has been read; undefined if the event loop does not lag. See `EventLoopLagMonitor`.
      */
@@ -246,6 +266,8 @@
     readonly turns?: ListenerOptions["turns"];
 }
 
+const COLD_START_MS = 10_000;
+
 /** Starts a node's gate on the loopback interface. It has no target until one is announced. */
 export const startGate = async (cleanup: Cleanup, options: GateHarnessOptions): Promise<GateHarness> => {
     const { clock, limit = TEST_LIMIT, claims = createRecordedClaims().claims, catchUp = () => undefined } = options;
@@ -260,9 +282,9 @@
         createGate: (initial, slots) => createGate({ clock, limit: initial, slots, options: defaultGateOptions }),
         heartbeatTimeoutMs: 3000,
         leavingQueueMs: 1000,
-        slowStartMs: 10_000,
+        slowStartMs: COLD_START_MS,
     });
-    const { containment = createIsolatedContainment(clock) } = options;
+    const { containment = createIsolatedContainment(clock), rollouts = createIsolatedRollouts(clock) } = options;
     const serve = createContainmentGuard(clock, containment, createServeAtGate({
         clock,
         pools,
@@ -278,6 +300,7 @@
             createPartLogger: createLogger,
             target: targetManager,
         }),
+        rolloutObserver: createRolloutObserver({ clock, rollouts, coldStartMs: COLD_START_MS }),
         catchUp,
     }));
     const listener = await startTestListener(cleanup, clock, createGateHandler({
--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -10,6 +10,7 @@
     type TableServiceClient,
 } from "oleandergap-platform";
 import { createConfigurationSource, type ConfigurationSource } from "oleandergap-configuration";
+import type { RolloutOrder } from "oleandergap-rollout";
 import type { Clock, ServiceReference } from "oleandergap-types";
 import type { Logger } from "oleandergap-logger";
 import type { Readiness } from "./admin/readiness.js";
@@ -24,6 +25,8 @@
     readonly objectStore: ObjectStoreClient;
     /** Source of the accepted configuration versions. */
     readonly source: ConfigurationSource;
+    /** Calls the listener with each roll-out that the platform's operator orders. Absent if it orders none. */
+    readonly subscribeToOrders?: (listener: (order: RolloutOrder) => void) => void;
 }
 
 /** Dependencies of the platform ports. */
--- a/packages/oleandergap-node/src/admin/gauges.ts
+++ b/packages/oleandergap-node/src/admin/gauges.ts
@@ -39,7 +39,7 @@
 export const addNodeGauges = (metrics: NodeMetrics, sources: GaugeSources): void => {
     const { controlPlane, requestPath, peerAccess, readiness } = sources;
     const { store, spread, spreadTransport, membership, directory, peers } = controlPlane;
-    const { containment, evidenceTransport } = controlPlane;
+    const { containment, evidenceTransport, rollouts, rolloutTransport } = controlPlane;
     const addGauge = (name: string, help: string, labelNames: string[], read: () => readonly GaugeReading[]): void =>
         metrics.addGauge({ name: `oleandergap_${name}`, help, labelNames, read });
 
@@ -58,6 +58,7 @@
         ...readDirections("peerCalls", peers.stats().bytesSent, peers.stats().bytesReceived),
         ...readDirections("spread", spreadTransport.stats().bytesSent, spreadTransport.stats().bytesReceived),
         ...readDirections("evidence", evidenceTransport.stats().bytesSent, evidenceTransport.stats().bytesReceived),
+        ...readDirections("rollouts", rolloutTransport.stats().bytesSent, rolloutTransport.stats().bytesReceived),
         ...readDirections("seals", peerAccess.stats().sealBytesSent, peerAccess.stats().sealBytesReceived),
     ]);
     addGauge("strangers", "Datagrams and requests refused because they lack a valid fleet key.", ["figure"], () => [
@@ -76,6 +77,11 @@
     );
     addGauge("evidence_datagrams", "Counts of datagrams about crashes.", ["figure"], () =>
         readNumbers("figure", evidenceTransport.stats()));
+    addGauge("rollouts", "Roll-outs that this node knows, by state.", ["state"], () => {
+        const states = rollouts.list().map(({ rollout }) => rollout.state);
+        return [...new Set(states)].map((state) =>
+            ({ labels: { state }, value: states.filter((other) => other === state).length }));
+    });
     addGauge("target_directory", "Counts of the target directory.", ["figure"], () =>
         readNumbers("figure", directory.stats()));
     addGauge("platform", "Calls to the platform.", ["service", "figure"], () => readPlatformCalls(sources));
--- /dev/null
+++ b/packages/oleandergap-node/src/control/peerExchange.ts
@@ -0,0 +1,69 @@
+/** Wires what nodes tell each other by gossip besides membership and versions: evidence on crashes, and roll-outs. */
+import { createContainment, type Containment, type EvidenceMessage } from "oleandergap-containment";
+import type { FleetPort } from "oleandergap-distribution";
+import type { Contact, MessageTransport } from "oleandergap-membership";
+import { createRollouts, type RolloutMessage, type Rollouts } from "oleandergap-rollout";
+import type { ControlPlaneDependencies } from "../createControlPlane.js";
+
+/** The nodes that a node sends gossip to. */
+export interface PeerNetwork {
+    /** Members of this node's availability zone, without this node. */
+    readonly members: () => readonly Contact[];
+    /** Some nodes of each other availability zone. */
+    readonly contacts: () => readonly Contact[];
+    /** Returns whether this node is the first of its zone, in an order that all members of the zone share. */
+    readonly isFirstInZone: () => boolean;
+}
+
+/** Creates the view of the fleet for gossip. */
+export const createPeerNetwork = (fleet: FleetPort): PeerNetwork => ({
+    members: () => fleet.members().filter(({ id }) => id !== fleet.self().id),
+    contacts: fleet.contacts,
+    isFirstInZone: () => fleet.members().every(({ id }) => id >= fleet.self().id),
+});
+
+/** Creates the containment of a node and connects it to its datagrams. */
+export const createNodeContainment = (
+    { options, bootId, backgroundClock, random, createPartLogger, tableService, signal }: ControlPlaneDependencies,
+    network: PeerNetwork,
+    transport: MessageTransport<EvidenceMessage>,
+): Containment<Contact> => {
+    const containment = createContainment<Contact>({
+        nodeId: options.nodeId,
+        bootId,
+        clock: backgroundClock,
+        random,
+        logger: createPartLogger("containment"),
+        options: options.containment,
+        network: { ...network, isInSameZone: (contact) => contact.zone === options.zone, send: transport.send },
+        tableService,
+        signal,
+    });
+    transport.onMessage(containment.receive);
+    return containment;
+};
+
+/** Creates the roll-outs of a node and connects them to their datagrams. */
+export const createNodeRollouts = (
+    { options, backgroundClock, random, createPartLogger, tableService, findLocalTarget, signal }:
+    ControlPlaneDependencies,
+    network: PeerNetwork,
+    transport: MessageTransport<RolloutMessage>,
+): Rollouts<Contact> => {
+    const countEarlierZones = (): number =>
+        new Set(network.contacts().map(({ zone }) => zone).filter((zone) => zone < options.zone)).size;
+    const rollouts = createRollouts<Contact>({
+        nodeId: options.nodeId,
+        clock: backgroundClock,
+        random,
+        logger: createPartLogger("rollout"),
+        options: options.rollouts,
+        network: { ...network, send: transport.send },
+        findZoneRank: () => network.isFirstInZone() ? countEarlierZones() : undefined,
+        tableService,
+        findLocalTarget,
+        signal,
+    });
+    transport.onMessage(rollouts.receive);
+    return rollouts;
+};
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -4,7 +4,7 @@
     type ConfigurationSource,
     type ConfigurationStore,
 } from "oleandergap-configuration";
-import { createContainment, evidenceMessageSchema, type Containment, type EvidenceMessage } from "oleandergap-containment";
+import { evidenceMessageSchema, type Containment, type EvidenceMessage } from "oleandergap-containment";
 import {
     createPeerClient,
     createSpread,
@@ -16,6 +16,7 @@
 } from "oleandergap-distribution";
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
+import { rolloutMessageSchema, type LocalTargetState, type RolloutMessage, type Rollouts } from "oleandergap-rollout";
 import {
     createMembership,
     createMessageTransport,
@@ -36,6 +37,7 @@
 } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { PeerAccess } from "./control/peerAccess.js";
+import { createNodeContainment, createNodeRollouts, createPeerNetwork } from "./control/peerExchange.js";
 import { createZoneFetcher } from "./control/zoneFetcher.js";
 import { listServingZones } from "./gateway/targetLookup.js";
 import type { NodeOptions } from "./options.js";
@@ -53,6 +55,8 @@
     readonly objectStore: ObjectStore;
     readonly source: ConfigurationSource;
     readonly peerAccess: PeerAccess;
+    /** Returns the local target; undefined if there is none or if it announced no version. */
+    readonly findLocalTarget: () => LocalTargetState | undefined;
     readonly signal: AbortSignal;
 }
 
@@ -67,17 +71,20 @@
     readonly directory: TargetDirectory;
     readonly containment: Containment<Contact>;
     readonly evidenceTransport: MessageTransport<EvidenceMessage>;
+    readonly rollouts: Rollouts<Contact>;
+    readonly rolloutTransport: MessageTransport<RolloutMessage>;
 }
 
 /** First byte of datagrams with crash evidence. */
 const EVIDENCE_MARK = 0xc0;
+/** First byte of datagrams about roll-outs. */
+const ROLLOUT_MARK = 0xc2;
 /** Number of deltas that are stored per partner, for peers that lack recent versions. */
 const DELTA_HISTORY = 256;
 
 export const createControlPlane = (dependencies: ControlPlaneDependencies): ControlPlane => {
     const {
-        options, bootId, clock, backgroundClock, random, createPartLogger, tableService, objectStore, source,
-        peerAccess, signal,
+        options, clock, backgroundClock, random, createPartLogger, objectStore, source, peerAccess, signal,
     } = dependencies;
     const { nodeId, zone, partners, listen, linkMegabitsPerSecond: linkBandwidth } = options;
     const self = {
@@ -104,7 +111,13 @@
         markerByte: EVIDENCE_MARK,
         schema: evidenceMessageSchema,
     });
-    const spreadTransport = createSpreadTransport({ transport: evidenceTransport.remainingTransport, self });
+    const rolloutTransport = createMessageTransport({
+        transport: evidenceTransport.remainingTransport,
+        self,
+        markerByte: ROLLOUT_MARK,
+        schema: rolloutMessageSchema,
+    });
+    const spreadTransport = createSpreadTransport({ transport: rolloutTransport.remainingTransport, self });
     const membership = createMembership({
         self,
         clock: backgroundClock,
@@ -147,24 +160,9 @@
         signal,
     });
     spreadTransport.onMessage(spread.receive);
-    const containment = createContainment<Contact>({
-        nodeId,
-        bootId,
-        clock: backgroundClock,
-        random,
-        logger: createPartLogger("containment"),
-        options: options.containment,
-        network: {
-            members: () => fleet.members().filter(({ id }) => id !== nodeId),
-            contacts: fleet.contacts,
-            isInSameZone: (contact) => contact.zone === zone,
-            isFirstInZone: () => fleet.members().every(({ id }) => id >= nodeId),
-            send: evidenceTransport.send,
-        },
-        tableService,
-        signal,
-    });
-    evidenceTransport.onMessage(containment.receive);
+    const peerNetwork = createPeerNetwork(fleet);
+    const containment = createNodeContainment(dependencies, peerNetwork, evidenceTransport);
+    const rollouts = createNodeRollouts(dependencies, peerNetwork, rolloutTransport);
     // Contacts are searched for in all zones that the tables contain, whether or not a zone has a seed node.
     store.subscribe(() => {
         membership.addZones([...store.getTables().values()].flatMap((table) => [...table.zones]));
@@ -183,6 +181,17 @@
         options: options.targetDirectory,
     });
     return {
-        store, source, membership, fleet, peers, spread, spreadTransport, directory, containment, evidenceTransport,
+        store,
+        source,
+        membership,
+        fleet,
+        peers,
+        spread,
+        spreadTransport,
+        directory,
+        containment,
+        evidenceTransport,
+        rollouts,
+        rolloutTransport,
     };
 };
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -3,6 +3,7 @@
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import { createLogger } from "oleandergap-logger";
 import type { ReadFleetKeys } from "oleandergap-membership";
+import type { LocalTargetState } from "oleandergap-rollout";
 import type { Clock, MemberTarget } from "oleandergap-types";
 import { createBackgroundClock } from "oleandergap-utils";
 import { defaultAdapters, type NodeAdapters } from "./adapters.js";
@@ -15,9 +16,12 @@
 import { createPeerAccess } from "./control/peerAccess.js";
 import { createControlPlane } from "./createControlPlane.js";
 import { createRequestPath } from "./createRequestPath.js";
+import { getColdTimeLeft } from "./gate/rolloutObserver.js";
 import type { ListenError } from "./http/listener.js";
 import { createNodeLifecycle } from "./nodeLifecycle.js";
 import type { NodeOptions } from "./options.js";
+import type { RequestPath } from "./requestPathTypes.js";
+import type { LocalTarget } from "./target/localTargetManager.js";
 import { openProcessorProfile } from "./profile/openProcessorProfile.js";
 
 export interface NodeDependencies {
@@ -40,6 +44,26 @@
     readonly stop: () => Promise<void>;
 }
 
+/** Returns the local target as far as roll-outs need it; undefined if it announced no version. */
+const describeLocalTarget = (
+    target: LocalTarget | undefined,
+    clock: Clock,
+    { routing }: NodeOptions,
+): LocalTargetState | undefined => {
+    const version = target?.announcement.version;
+    if (target === undefined || version === undefined) {
+        return undefined;
+    }
+    const { partner, service, slots } = target.announcement;
+    return {
+        service: { partner, service },
+        version,
+        slots: target.leaving ? 0 : slots,
+        inFlight: target.gate.load().inFlight,
+        coldLeftMs: getColdTimeLeft(target, clock, routing.picker.slowStartMs),
+    };
+};
+
 const BASE_36 = 36;
 /**
  * Interval at which a node performs periodic work. It equals the interval of the most frequent periodic task, so no
@@ -76,7 +100,10 @@
         signal,
     };
 
-    const controlPlane = createControlPlane(shared);
+    const controlPlane = createControlPlane({
+        ...shared,
+        findLocalTarget: () => describeLocalTarget(requestPath.target.current(), clock, options),
+    });
     const { store, membership, directory } = controlPlane;
 
     let announcedTarget: MemberTarget | undefined;
@@ -86,12 +113,13 @@
             membership.setTarget(announcedTarget);
         }
     };
-    const requestPath = createRequestPath({
+    const requestPath: RequestPath = createRequestPath({
         ...shared,
         dialects: adapters.dialects,
         callerService: adapters.callerService,
         metrics,
         containment: controlPlane.containment,
+        rollouts: controlPlane.rollouts,
         view: store.getTables,
         directory,
         publishTarget: (target) => {
@@ -101,6 +129,7 @@
         readiness,
     });
     store.subscribe(requestPath.target.refreshLimit);
+    platform.subscribeToOrders?.(controlPlane.rollouts.submit);
     openProcessorProfile({ options, clock, logger: createLogger("profile"), signal });
     addNodeGauges(metrics, { controlPlane, requestPath, peerAccess, tableService, objectStore, readiness });
 
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -15,6 +15,7 @@
 import { createClaims, type Claims } from "./createClaims.js";
 import { createGateHandler } from "./gateHandler.js";
 import type { ServeAtGate } from "./gateRequest.js";
+import { createRolloutObserver } from "./rolloutObserver.js";
 import { createTargetRunObserver } from "./createTargetRunObserver.js";
 import { createServeAtGate } from "./serveAtGate.js";
 import type { UnservedCalls } from "./unservedCalls.js";
@@ -94,14 +95,15 @@
 
 /** Creates the gate of a node. Its request tally runs until the signal aborts. */
 export const createGatePath = (dependencies: RequestPathDependencies, parts: GatePathParts): GatePath => {
-    const { options: { claims: claimOptions, requests }, clock, backgroundClock, createPartLogger } = dependencies;
+    const { options, clock, backgroundClock, createPartLogger } = dependencies;
+    const { claims: claimOptions, requests } = options;
     const { pools, target, localService, catchUp, isFailureExplained } = parts;
     const claims = createLocalClaims(dependencies, localService);
     const claimSweeper = createSweeper(dependencies, localService.services);
     const load = (): GateLoad | undefined => target.current()?.gate.load();
     const tally = createRequestTally({ clock: backgroundClock, logger: createPartLogger("request"), load });
     tally.start(dependencies.signal);
-    const { containment } = dependencies;
+    const { containment, rollouts } = dependencies;
     const serveAtTarget = createServeAtGate({
         clock,
         pools,
@@ -113,6 +115,7 @@
         bodySilenceMs: requests.bodySilenceMs,
         isFailureExplained: isFailureExplained,
         observeRun: createTargetRunObserver({ clock, containment, createPartLogger, target }),
+        rolloutObserver: createRolloutObserver({ clock, rollouts, coldStartMs: options.routing.picker.slowStartMs }),
         catchUp,
     });
     const serve = countGateRequests(clock, tally, createContainmentGuard(clock, containment, serveAtTarget));
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -13,6 +13,7 @@
 import { createClaimedRun } from "./claimedRun.js";
 import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import { createLatencyMeter } from "./latencyMeter.js";
+import type { RolloutObserver } from "./rolloutObserver.js";
 import type { ObserveRun } from "./runObserver.js";
 
 export interface ServeAtGateDependencies {
@@ -34,6 +35,8 @@
     readonly isFailureExplained?: (startedAt: Milliseconds) => boolean;
     /** Observes the runs at the local target. If absent, crashes of the target are not attributed to requests. */
     readonly observeRun?: ObserveRun;
+    /** Takes part in roll-outs. If absent, no version is judged or stopped. */
+    readonly rolloutObserver?: RolloutObserver;
     /**
      * Resolves when pending input has been read; undefined if the event loop does not lag. See `EventLoopLagMonitor`.
      */
@@ -90,7 +93,7 @@
 };
 
 export const createServeAtGate = (dependencies: ServeAtGateDependencies): ServeAtGate => {
-    const { clock, pools, dialect } = dependencies;
+    const { clock, pools, dialect, rolloutObserver } = dependencies;
     const latencyMeter = createLatencyMeter();
     let attemptCount = 0;
 
@@ -165,6 +168,10 @@
         if (target === undefined || !isTargetOfService(target, request)) {
             return either.left(noTargetRefusal);
         }
+        const stoppedRefusal = rolloutObserver?.findRefusal(target);
+        if (stoppedRefusal !== undefined) {
+            return either.left(stoppedRefusal);
+        }
         const admission = await target.gate.admit({
             ...request.caller,
             priority: request.priority,
@@ -184,9 +191,16 @@
                 return either.left(cancelledRefusal);
             }
         }
+        // The version may have been stopped while the request waited.
+        const lateRefusal = rolloutObserver?.findRefusal(target);
+        if (lateRefusal !== undefined) {
+            admission.right.release("NotStarted");
+            return either.left(lateRefusal);
+        }
         request.onAdmitted();
         const startedAt = clock.monotonic();
-        const outcome = markStarved(await createTargetRun(target)(request), startedAt);
+        const result = markStarved(await createTargetRun(target)(request), startedAt);
+        const outcome = rolloutObserver?.observeOutcome(target, request, result, startedAt) ?? result;
         if (either.isLeft(outcome)) {
             admission.right.release(toReleaseOutcome(outcome.left, request.signal));
             return outcome;
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -110,6 +110,7 @@
             directory: dependencies.directory,
             firstLookupMs: requests.firstLookupMs,
         }),
+        splitTargets: dependencies.rollouts.split,
         router: createRouter(dependencies, createPicker(dependencies)),
         findOwnerRouter: options.keyOwnership.enabled ?
             createOwnerRouting({ clock, partitions: options.keyOwnership.partitions }) :
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -6,7 +6,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
 import type { TargetMember } from "oleandergap-membership";
-import type { RequestRouter, AttemptedTarget } from "oleandergap-routing";
+import type { AttemptedTarget, RequestRouter } from "oleandergap-routing";
 import type {
     Clock,
     Milliseconds,
@@ -30,6 +30,7 @@
 import type { LogFailedRequest } from "./requestLog.js";
 import type { ChooseService } from "./routeTable.js";
 import { sendWithContainment, type CreateRequestContainment } from "./requestContainment.js";
+import { chooseRequestTargets, type SplitTargets } from "./requestTargets.js";
 import type { FindTargets } from "./targetLookup.js";
 import type { SendToGate } from "./sendToGate.js";
 
@@ -43,6 +44,7 @@
     /** Returns the tables currently in force. */
     readonly view: () => TableView;
     readonly findTargets: FindTargets;
+    readonly splitTargets: SplitTargets;
     readonly router: RequestRouter<TargetMember>;
     /** Returns the router of a request whose idempotency key has an owner. */
     readonly findOwnerRouter: FindOwnerRouter;
@@ -148,7 +150,9 @@
         const { service, row, table, deadline } = caller;
         const found = dependencies.findTargets({ service, row, table, deadline, signal });
         const containment = dependencies.createRequestContainment(caller, body);
-        const targets = containment.chooseTargets(found instanceof Promise ? await found : found);
+        const foundTargets = found instanceof Promise ? await found : found;
+        const { targets, trial } =
+            chooseRequestTargets(service, foundTargets, dependencies.splitTargets, containment);
         const ownerRouter = caller.idempotencyKey === undefined ?
             undefined :
             dependencies.findOwnerRouter(service, caller.idempotencyKey, targets);
@@ -156,6 +160,7 @@
             service,
             row,
             targets,
+            trial,
             idempotent: caller.idempotent,
             canReplayBody: () => isReplayable(body),
             deadline,
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -98,6 +98,7 @@
     controlPlane.directory.start(signal);
     controlPlane.spread.start();
     controlPlane.containment.start();
+    controlPlane.rollouts.start();
     const logFailure = (work: string) => (error: unknown): void => {
         logger.error(`${work} failed.`, { detail: String(error) });
     };
--- a/packages/oleandergap-node/src/options.ts
+++ b/packages/oleandergap-node/src/options.ts
@@ -1,6 +1,7 @@
 /** Schema of the daemon's settings file: its own settings and those of each part. All durations are milliseconds. */
 import { changeOptionsSchema } from "oleandergap-configuration";
 import { containmentOptionsSchema } from "oleandergap-containment";
+import { rolloutOptionsSchema } from "oleandergap-rollout";
 import { distributionOptionsSchema } from "oleandergap-distribution";
 import { gateOptionsSchema } from "oleandergap-gate";
 import { claimOptionsSchema, ownershipOptionsSchema } from "oleandergap-idempotency";
@@ -128,6 +129,7 @@
     routing: routingOptionsSchema.prefault({}),
     gate: gateOptionsSchema.prefault({}),
     containment: containmentOptionsSchema.prefault({}),
+    rollouts: rolloutOptionsSchema.prefault({}),
     changes: changeOptionsSchema.prefault({}),
     claims: claimOptionsSchema.prefault({}),
     keyOwnership: ownershipOptionsSchema.prefault({}),
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -1,5 +1,6 @@
 /** Dependencies and interface of the request path. */
 import type { Containment } from "oleandergap-containment";
+import type { Rollouts } from "oleandergap-rollout";
 import type { ClaimSweeper } from "oleandergap-idempotency";
 import type { Logger } from "oleandergap-logger";
 import type { Contact, TargetDirectory } from "oleandergap-membership";
@@ -31,6 +32,7 @@
     /** Unique for each start of the process. */
     readonly bootId: string;
     readonly containment: Containment<Contact>;
+    readonly rollouts: Rollouts<Contact>;
     readonly readiness: Readonly<ReadinessState>;
     readonly dialects: Dialects;
     /** Service of all callers at the gateway, if all of them run on this VM; undefined otherwise. */
--- /dev/null
+++ b/packages/oleandergap-rollout/src/decision/decider.ts
@@ -0,0 +1,134 @@
+/** Decides on the states of roll-outs and has them written to the platform's table. */
+import type { Logger } from "oleandergap-logger";
+import { formatServiceReference, type Clock, type Milliseconds } from "oleandergap-types";
+import type { Random } from "oleandergap-utils";
+import type { KnownRollout, RolloutStore } from "../exchange/rolloutStore.js";
+import type { RolloutVerdict } from "../judge/judge.js";
+import type { RolloutOptions } from "../options.js";
+import { planChange, type RolloutCapacity } from "../plan/plan.js";
+import { isFinal, type Rollout } from "../rollout.js";
+import type { RolloutRows } from "./rolloutRows.js";
+import { createSettler, toSettledState } from "./settler.js";
+
+/** Dependencies of a decider. */
+export interface DeciderDependencies {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    readonly options: RolloutOptions;
+    readonly store: RolloutStore;
+    readonly rows: Pick<RolloutRows, "settle">;
+    /** Returns the position of this node's zone if it is the first node there; undefined otherwise. */
+    readonly findZoneRank: () => number | undefined;
+    /** Returns the latest verdict of this node. */
+    readonly getVerdict: (rollout: Rollout) => RolloutVerdict;
+    /** Sends a roll-out that is new in the store to other nodes. */
+    readonly broadcast: (rollout: Rollout) => void;
+    readonly signal: AbortSignal;
+}
+
+/** Decides on the states of roll-outs. */
+export interface Decider {
+    /** Adds a roll-out or a later state to the store and sends it to other nodes. */
+    readonly apply: (rollout: Rollout) => void;
+    /** Handles a roll-out that has changed in the store. */
+    readonly handleChange: (rollout: Rollout) => void;
+    /** Does what is due for a roll-out according to the verdict. */
+    readonly decide: (known: KnownRollout, verdict: RolloutVerdict) => void;
+}
+
+const measureCapacity = ({ rollout, reports }: KnownRollout): RolloutCapacity => {
+    const capacity = { newSlots: 0, oldSlots: 0, oldInFlight: 0 };
+    for (const { report } of reports.values()) {
+        if (report.version === rollout.order.version) {
+            capacity.newSlots += report.slots;
+        }
+        else {
+            capacity.oldSlots += report.slots;
+            capacity.oldInFlight += report.inFlight;
+        }
+    }
+    return capacity;
+};
+
+/** Creates a decider without work. */
+export const createDecider = (dependencies: DeciderDependencies): Decider => {
+    const { clock, random, logger, options, store, rows, findZoneRank, getVerdict, broadcast, signal } = dependencies;
+    /** Orders whose row this node has to create. */
+    const unstoredOrders = new Set<string>();
+
+    /** Returns a roll-out with the state that has to be written for it. */
+    const toDue = (rollout: Rollout, state: Rollout["state"], reason: string, now: Milliseconds): Rollout =>
+        ({ ...rollout, state: toSettledState(state), since: now, reason });
+
+    const findDue = (rolloutId: string): Rollout | undefined => {
+        const known = store.findById(rolloutId);
+        if (known === undefined || isFinal(known.rollout.state)) {
+            return undefined;
+        }
+        const { rollout } = known;
+        const now = clock.monotonic();
+        if (rollout.state === "stopping") {
+            return toDue(rollout, rollout.state, rollout.reason, now);
+        }
+        const change = planChange(rollout, getVerdict(rollout), measureCapacity(known), now, options);
+        if (change !== undefined) {
+            return toDue(rollout, change.state, change.reason, now);
+        }
+        return unstoredOrders.has(rolloutId) ? rollout : undefined;
+    };
+
+    const handleChange: Decider["handleChange"] = (rollout) => {
+        const { order, state, reason } = rollout;
+        const service = formatServiceReference(order.service);
+        logger.info("The state of a roll-out has changed.", {
+            service, version: order.version, rollout: order.id, state, reason,
+        });
+        const mustCreateRow = state === "running" && findZoneRank() !== undefined;
+        if (mustCreateRow) {
+            unstoredOrders.add(order.id);
+        }
+        if (mustCreateRow || state === "stopping") {
+            settler.start(order.id);
+        }
+    };
+
+    const apply: Decider["apply"] = (rollout) => {
+        const changed = store.merge(rollout);
+        if (changed !== undefined) {
+            broadcast(changed);
+            handleChange(changed);
+        }
+    };
+
+    const settler = createSettler({
+        clock,
+        random,
+        logger,
+        rows,
+        findZoneRank,
+        findDue,
+        onSettled: (rollout) => {
+            unstoredOrders.delete(rollout.order.id);
+            apply(rollout);
+        },
+        signal,
+    });
+
+    return {
+        apply,
+        handleChange,
+        decide: (known, verdict) => {
+            const { rollout } = known;
+            const now = clock.monotonic();
+            const change = planChange(rollout, verdict, measureCapacity(known), now, options);
+            if (change?.state === "stopping") {
+                apply({ ...rollout, state: "stopping", since: now, reason: change.reason });
+                return;
+            }
+            if (change !== undefined || rollout.state === "stopping") {
+                settler.start(rollout.order.id);
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/oleandergap-rollout/src/decision/settler.ts
@@ -0,0 +1,83 @@
+/**
+ * Writes the states of roll-outs to the platform's table. Any node may write; a short wait that depends on the node
+ * leaves the write to one of them as a rule. Which node writes first does not matter for the outcome, because each
+ * write has a condition.
+ */
+import type { Logger } from "oleandergap-logger";
+import type { Clock, Milliseconds } from "oleandergap-types";
+import { drawBackoff, type Random } from "oleandergap-utils";
+import { isFinal, type Rollout, type RolloutState } from "../rollout.js";
+import type { RolloutRows } from "./rolloutRows.js";
+
+const BACKOFF_BASE_MS: Milliseconds = 100;
+const BACKOFF_MAXIMUM_MS: Milliseconds = 2000;
+/** Wait of the first node of a zone, for each zone that precedes its own. */
+const ZONE_DELAY_MS: Milliseconds = 300;
+/** Minimum wait of every other node. A random time up to the same length is added. */
+const OTHER_NODES_DELAY_MS: Milliseconds = 1500;
+
+/** Dependencies of a settler. */
+export interface SettlerDependencies {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: Logger;
+    readonly rows: Pick<RolloutRows, "settle">;
+    /** Returns the position of this node's zone if it is the first node there; undefined otherwise. */
+    readonly findZoneRank: () => number | undefined;
+    /** Returns the state of the roll-out that is due but not in the table yet; undefined if there is none. */
+    readonly findDue: (rolloutId: string) => Rollout | undefined;
+    /** Runs with the state that the table contains. */
+    readonly onSettled: (rollout: Rollout) => void;
+    readonly signal: AbortSignal;
+}
+
+/** Writes due states. */
+export interface Settler {
+    /** Starts to write what is due for a roll-out. Does nothing while an earlier start is still at work. */
+    readonly start: (rolloutId: string) => void;
+}
+
+/** State that is written for a state that a node has found due. */
+export const toSettledState = (state: RolloutState): RolloutState => state === "stopping" ? "rolledBack" : state;
+
+/** Creates a settler without work. */
+export const createSettler = (
+    { clock, random, logger, rows, findZoneRank, findDue, onSettled, signal }: SettlerDependencies,
+): Settler => {
+    const active = new Set<string>();
+
+    const computeFirstDelay = (): Milliseconds => {
+        const rank = findZoneRank();
+        return rank === undefined ? OTHER_NODES_DELAY_MS * (1 + random()) : rank * ZONE_DELAY_MS;
+    };
+
+    const tryOnce = async (rolloutId: string): Promise<boolean> => {
+        const due = findDue(rolloutId);
+        if (due === undefined) {
+            return true;
+        }
+        const result = await rows.settle(due);
+        if (result.kind === "Retry") {
+            logger.info("The state of a roll-out could not be written.", { rollout: rolloutId, reason: result.reason });
+            return false;
+        }
+        onSettled(result.rollout);
+        return isFinal(result.rollout.state) || findDue(rolloutId) === undefined;
+    };
+
+    const run = async (rolloutId: string): Promise<void> => {
+        await clock.sleep(computeFirstDelay(), signal);
+        for (let failures = 0; !signal.aborted && !await tryOnce(rolloutId); failures++) {
+            await clock.sleep(drawBackoff(random, failures, BACKOFF_BASE_MS, BACKOFF_MAXIMUM_MS), signal);
+        }
+    };
+
+    return {
+        start: (rolloutId) => {
+            if (!active.has(rolloutId)) {
+                active.add(rolloutId);
+                void run(rolloutId).finally(() => active.delete(rolloutId));
+            }
+        },
+    };
+};
--- a/packages/oleandergap-routing/src/requestExecution.ts
+++ b/packages/oleandergap-routing/src/requestExecution.ts
@@ -3,12 +3,22 @@
 import type { GateLoad, Milliseconds, NodeId, RequestFailure, ServiceReference, ServiceRow } from "oleandergap-types";
 import type { AttemptProgress, RoutableTarget } from "./target.js";
 
+/** Targets of a new version of a service. */
+export interface TrialTargets<Target extends RoutableTarget> {
+    readonly version: string;
+    readonly targets: readonly Target[];
+    /** Whether retries go to the new version too. */
+    readonly includesRetries: boolean;
+}
+
 /** One request and its constraints. */
 export interface RequestExecution<Target extends RoutableTarget> {
     readonly service: ServiceReference;
     readonly row: ServiceRow;
     /** The service's targets. The array must stay the same object while nothing changes. */
     readonly targets: readonly Target[];
+    /** Targets of a new version that the request goes to first; undefined if it goes to the usual targets. */
+    readonly trial?: TrialTargets<Target> | undefined;
     readonly idempotent: boolean;
     /**
      * Called after a failed attempt. Returns whether the complete body can still be sent, because it is buffered or has
--- a/packages/oleandergap-routing/src/requestRouter.ts
+++ b/packages/oleandergap-routing/src/requestRouter.ts
@@ -23,8 +23,8 @@
 import type { StarvationThrottle } from "./starvationThrottle.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { tryAcquireRetry } from "./retryDecision.js";
-import { toPickRequest } from "./pickRequest.js";
-import type { RoutableTarget, TargetPicker } from "./target.js";
+import { toPickRequest, toTrialPickRequest } from "./pickRequest.js";
+import type { RoutableTarget, TargetPick, TargetPicker } from "./target.js";
 
 /** Dependencies of a request router. */
 export interface RequestRouterDependencies<Target extends RoutableTarget> {
@@ -94,6 +94,15 @@
         budget,
     });
 
+    const pickTarget = (
+        execution: RequestExecution<Target>,
+        history: AttemptHistory,
+    ): TargetPick<Target> | undefined => {
+        const trialRequest = toTrialPickRequest(execution, history);
+        const trialPick = trialRequest && picker.pick(trialRequest);
+        return trialPick ?? picker.pick(toPickRequest(execution, history));
+    };
+
     const executeWithRetries = async <Answer>(
         execution: RequestExecution<Target>,
         attempt: Attempt<Target, Answer>,
@@ -129,7 +138,7 @@
             if (preSendFailure !== undefined) {
                 return failRequest(preSendFailure);
             }
-            const pick = picker.pick(toPickRequest(execution, history));
+            const pick = pickTarget(execution, history);
             if (pick === undefined) {
                 return failRequest(history.lastFailure() ?? createRefusal("NoTarget"));
             }
--- a/packages/oleandergap-routing/src/target.ts
+++ b/packages/oleandergap-routing/src/target.ts
@@ -28,6 +28,11 @@
      * array; new objects make the picker rebuild its state.
      */
     readonly targets: readonly Target[];
+    /**
+     * Name of the group of targets if they are not the usual ones of the service. The picker keeps separate state for
+     * each group.
+     */
+    readonly group?: string | undefined;
     /** Nodes that this request has already been sent to. */
     readonly exclude: readonly NodeId[];
     /**
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -57,7 +57,7 @@
     const rebuildContext = { clock, random, localityPreference, callerSpread: options.callerSpread };
 
     const getServiceState = (request: PickRequest<Target>): ServiceState<Target> => {
-        const key = formatServiceReference(request.service);
+        const key = `${formatServiceReference(request.service)}${request.group === undefined ? "" : ` ${request.group}`}`;
         let service = services.get(key);
         if (service === undefined) {
             service = createServiceState<Target>();
--- a/packages/oleandergap-types/src/member.ts
+++ b/packages/oleandergap-types/src/member.ts
@@ -7,6 +7,9 @@
 /** A port at which a peer can be reached; 0 is not a valid port. */
 export const portSchema = z.number().int().min(1).max(65_535);
 
+/** Maximum length of the version of a target, in characters. */
+export const MAX_TARGET_VERSION_LENGTH = 64;
+
 /** The announcement that a target sends to the node on its VM. */
 export const announcementSchema = z.strictObject({
     partner: partnerNameSchema,
@@ -32,6 +35,8 @@
     sequence: z.number().int().nonnegative().optional(),
     /** Remaining time of the target's cold start, during which it is slow; absent if the target does not send it. */
     coldLeftMs: z.number().min(0).max(3_600_000).optional(),
+    /** Version of the target's software; absent if the target does not send it. */
+    version: z.string().min(1).max(MAX_TARGET_VERSION_LENGTH).optional(),
 });
 export type Announcement = z.infer<typeof announcementSchema>;
 
