--- a/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
@@ -5,10 +5,10 @@
 import { getReportSize, MAX_REPORT_PARTS } from "./rolloutMessage.js";
 
 /**
- * Number of times that a node sends a report on, each time to several others. Together that reaches every node of a
- * large fleet; a node that was missed gets the next report.
+ * Size of the reports that a node sends on in one round, in parts; see `getReportSize`. Two datagrams a round are enough
+ * for all reports of a service with sixty targets.
  */
-const REPORT_TRANSMISSIONS = 2;
+const PARTS_PER_ROUND = 2 * MAX_REPORT_PARTS;
 
 /** A roll-out and the reports of its service's targets. */
 export interface KnownRollout {
@@ -19,7 +19,7 @@
 }
 
 interface StoredReport extends ReceivedReport {
-    transmissions: number;
+    isSent: boolean;
 }
 
 interface StoredRollout extends KnownRollout {
@@ -38,8 +38,9 @@
     readonly findById: (rolloutId: string) => KnownRollout | undefined;
     readonly list: () => readonly KnownRollout[];
     /**
-     * Returns the reports of a roll-out that were sent on least often, as many as fit into one datagram, and counts the
-     * transmission.
+     * Returns reports of a roll-out that were not sent on yet, those of the new version first, and marks them as sent.
+     * Each report is sent on once, to several nodes: that reaches nearly every node of a large fleet, and a node that
+     * was missed gets the next report.
      */
     readonly takeReports: (rolloutId: string) => readonly TargetReport[];
 }
@@ -78,7 +79,7 @@
         if (known === undefined || !isNewerReport(previous, report)) {
             return false;
         }
-        known.reports.set(report.node, { report, at: now, transmissions: 0 });
+        known.reports.set(report.node, { report, at: now, isSent: false });
         if (changesSplit(previous, report)) {
             known.revision += 1;
         }
@@ -86,16 +87,19 @@
     };
 
     const takeReports: RolloutStore["takeReports"] = (rolloutId) => {
-        const due = [...findById(rolloutId)?.reports.values() ?? []]
-            .filter(({ transmissions }) => transmissions < REPORT_TRANSMISSIONS)
-            .sort((left, right) => left.transmissions - right.transmissions);
-        let remaining = MAX_REPORT_PARTS;
-        const taken = due.filter(({ report }) => {
+        const known = findById(rolloutId);
+        if (known === undefined) {
+            return [];
+        }
+        const isNew = ({ report }: StoredReport): boolean => report.version === known.rollout.order.version;
+        const unsent = [...known.reports.values()].filter(({ isSent }) => !isSent);
+        let remaining = PARTS_PER_ROUND;
+        const taken = [...unsent.filter(isNew), ...unsent.filter((stored) => !isNew(stored))].filter(({ report }) => {
             remaining -= getReportSize(report);
             return remaining >= 0;
         });
         for (const stored of taken) {
-            stored.transmissions += 1;
+            stored.isSent = true;
         }
         return taken.map(({ report }) => report);
     };
--- a/packages/oleandergap-rollout/src/targetReporter.ts
+++ b/packages/oleandergap-rollout/src/targetReporter.ts
@@ -38,7 +38,9 @@
  */
 const REFERENCE_INTERVAL_MS: Milliseconds = 1500;
 /** Interval of the reports of all targets during a promotion, which ends when the old ones have finished. */
-const PROMOTION_INTERVAL_MS: Milliseconds = 400;
+const PROMOTION_INTERVAL_MS: Milliseconds = 600;
+/** Interval of the reports of targets that are compared. */
+const COMPARED_INTERVAL_MS: Milliseconds = 300;
 
 /** What was counted for one roll-out at one version of the local target. */
 interface Count {
@@ -61,10 +63,10 @@
 };
 
 const getInterval = (state: RolloutState, hasComparedNews: boolean): Milliseconds => {
-    if (state === "promoting") {
-        return PROMOTION_INTERVAL_MS;
+    if (hasComparedNews && !isFinal(state)) {
+        return COMPARED_INTERVAL_MS;
     }
-    return hasComparedNews && !isFinal(state) ? 0 : REFERENCE_INTERVAL_MS;
+    return state === "promoting" ? PROMOTION_INTERVAL_MS : REFERENCE_INTERVAL_MS;
 };
 
 /** Creates a reporter without counts. */
