--- a/packages/oleandergap-measure/src/main.ts
+++ b/packages/oleandergap-measure/src/main.ts
@@ -5,6 +5,7 @@
 import { formatResult, type Experiment } from "./experiment.js";
 import { experiments } from "./experiments.js";
 import { addProfileCommand } from "./profile/addProfileCommand.js";
+import { addRolloutsCommand } from "./rollouts/addRolloutsCommand.js";
 
 const EXIT_FAILURE = 1;
 const MAX_NODES = 300;
@@ -64,4 +65,5 @@
 );
 experiments.forEach((experiment) => addExperimentCommand(program, experiment));
 addProfileCommand(program);
+addRolloutsCommand(program);
 await program.parseAsync();
--- a/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
@@ -5,8 +5,8 @@
 import { getReportSize, MAX_REPORT_PARTS } from "./rolloutMessage.js";
 
 /**
- * Size of the reports that a node sends on in one round, in parts; see `getReportSize`. Two datagrams a round are enough
- * for all reports of a service with sixty targets.
+ * Size of the reports that a node sends on in one round, in parts; see `getReportSize`. Two datagrams a round are
+ * enough for all reports of a service with sixty targets.
  */
 const PARTS_PER_ROUND = 2 * MAX_REPORT_PARTS;
 
--- a/packages/oleandergap-rollout/src/index.ts
+++ b/packages/oleandergap-rollout/src/index.ts
@@ -4,7 +4,13 @@
 export { rolloutMessageSchema, type RolloutMessage } from "./exchange/rolloutMessage.js";
 export type { RolloutNetwork } from "./exchange/rolloutGossip.js";
 export { ROLLOUT_KEY_PREFIX, rolloutRowSchema } from "./decision/rolloutRows.js";
-export { createSequentialJudge, type CreateJudge, type RolloutJudge, type RolloutVerdict } from "./judge/judge.js";
+export {
+    createSequentialJudge,
+    type CreateJudge,
+    type RequestCounts,
+    type RolloutJudge,
+    type RolloutVerdict,
+} from "./judge/judge.js";
 export type { RunOutcome } from "./judge/outcomeCounter.js";
 export type { TargetReport, TargetReports } from "./judge/tally.js";
 export { defaultRolloutOptions, rolloutOptionsSchema, type RolloutOptions } from "./options.js";
--- a/packages/oleandergap-rollout/src/options.ts
+++ b/packages/oleandergap-rollout/src/options.ts
@@ -11,17 +11,17 @@
      * Number of requests in the whole fleet that the new version may receive beyond its share, so that a service with
      * little traffic can be judged at all.
      */
-    canarySlack: z.number().int().min(0).max(100_000).default(25),
+    canarySlack: z.number().int().min(0).max(100_000).default(35),
     /** Minimum number of targets that the canary requests are sent to, so that one slow target decides nothing. */
     canaryTargets: z.number().int().min(1).max(1000).default(3),
     /** Share of a roll-out's duration after which a version without findings is promoted. */
     promoteAfterShare: shareSchema.default(0.65),
     /** Time that a promotion needs before the deadline. A version is promoted that early if the duration is short. */
-    promotionMs: durationSchema.default(4000),
+    promotionMs: durationSchema.default(4500),
     /** Time before the deadline after which a version is no longer promoted. */
-    latestPromotionMs: durationSchema.default(2200),
+    latestPromotionMs: durationSchema.default(3000),
     /** Interval at which the share of the new version doubles during its promotion. */
-    rampStepMs: durationSchema.default(300),
+    rampStepMs: durationSchema.default(500),
     /** Minimum time for which the new version carries all requests before the roll-out is completed. */
     settleMs: durationSchema.default(800),
     /** Time before the deadline at which the outcome is decided. */
