Operators order, see and stop roll-outs with the command line

Cause: roll-outs could only be ordered by the platform's operator.

Change: oleandergap rollout start|status|abort, over the operators' procedures. The client chooses the id of an order, so that an order that is sent to a second node after a silence is the same one. Unknown services, impossible times, a second roll-out of a service and one that is not under way get errors that say what to do.

Not built: an audit entry for each step (the row holds the last state and its reason; each step is a log line with the operator).

--- a/packages/oleandergap-cli/src/__tests__/harness.ts
+++ b/packages/oleandergap-cli/src/__tests__/harness.ts
@@ -13,6 +13,7 @@
     operatorOptionsSchema, type ChangePort, type FleetReport, type OperatorServices,
 } from "oleandergap-operator";
 import { createMemoryObjectStore, createMemoryTableService } from "oleandergap-platform";
+import { createIsolatedRollouts } from "oleandergap-rollout";
 import type { Clock, Member, PlatformError, TableService } from "oleandergap-types";
 import { createSeededRandom, createSystemClock } from "oleandergap-utils";
 import { runCommandLine } from "../program.js";
@@ -112,6 +113,7 @@
         tables: {
             isReady: () => true,
             inForce: (partner) => ({ partner, sequence: 0, digest: "0".repeat(64), cells: {} }),
+            listServices: () => ["grant-filer"],
             accepted: source.readDocument,
             acceptedHeads: (signal) => source.readHeads(["halloway", "kushiro"], signal),
         },
@@ -122,6 +124,7 @@
                 return either.right(undefined);
             },
         },
+        rollouts: createIsolatedRollouts({ clock, tableService: memoryTable }),
         clock,
         logger,
     };
--- a/packages/oleandergap-cli/src/__tests__/program.test.ts
+++ b/packages/oleandergap-cli/src/__tests__/program.test.ts
@@ -179,6 +179,21 @@
         expect(harness.drained).to.deep.equal(["hall-a-1"]);
     });
 
+    it("orders, shows and stops a roll-out, and refuses a second one of the same service", async () => {
+        expect((await harness.run("rollout", "status")).out).to.include("No roll-out is known.");
+        const started = await harness.run("rollout", "start", "grant-filer", "v2", "--within", "60");
+        expect(started.out).to.include("grant-filer to v2: running (ordered), 0 s of 60 s");
+        expect(await harness.run("rollout", "start", "grant-filer", "v3")).to.deep.include({ exitCode: 5 });
+        expect((await harness.run("rollout", "abort", "grant-filer")).out).to.include("stopping (stopped by jordan)");
+    });
+
+    it("explains roll-outs of unknown services, impossible times, and nothing to stop", async () => {
+        expect(await harness.run("rollout", "start", "unknown", "v2")).to.deep.include({ exitCode: 1 });
+        expect((await harness.run("rollout", "start", "grant-filer", "v2", "--within", "0")).error)
+            .to.include("use a number of seconds");
+        expect(await harness.run("rollout", "abort", "grant-filer")).to.deep.include({ exitCode: 1 });
+    });
+
     it("uses different exit codes for an unreachable platform or node and a rejected credential", async () => {
         harness.table.failure = { kind: "Unavailable", detail: "connection refused" };
         expect((await harness.run("set", "grant-filer.weights.hall-a=1")).exitCode).to.equal(6);
--- a/packages/oleandergap-cli/src/program.ts
+++ b/packages/oleandergap-cli/src/program.ts
@@ -9,6 +9,7 @@
 import { createGetCommand } from "./commands/get.js";
 import { createHistoryCommand } from "./commands/history.js";
 import { createMembersCommand } from "./commands/members.js";
+import { createRolloutCommand } from "./commands/rollout.js";
 import { createSetCommand } from "./commands/set.js";
 import { createTargetsCommand } from "./commands/targets.js";
 import { createUnsetCommand } from "./commands/unset.js";
@@ -75,13 +76,20 @@
     createMembersCommand(runner),
     createTargetsCommand(runner),
     createDrainCommand(runner),
+    createRolloutCommand(runner),
     createCreateCredentialCommand(runner),
 ];
 
-/** Configures the program or one of its commands. Commands that are added later do not inherit this configuration. */
-const configureCommand = (command: Command, environment: Environment): Command => command
-    .exitOverride()
-    .configureOutput({ writeOut: environment.writeOut, writeErr: environment.writeError });
+/**
+ * Configures the program or one of its commands, with its subcommands. Commands that are added later do not inherit
+ * this configuration.
+ */
+const configureCommand = (command: Command, environment: Environment): Command => {
+    command.commands.forEach((subcommand) => configureCommand(subcommand, environment));
+    return command
+        .exitOverride()
+        .configureOutput({ writeOut: environment.writeOut, writeErr: environment.writeError });
+};
 
 const createProgram = (runner: CommandRunner): Command => {
     const { environment } = runner;
--- a/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "chai";
 import * as either from "fp-ts/lib/Either.js";
 import { createLogger } from "oleandergap-logger";
+import { createIsolatedRollouts } from "oleandergap-rollout";
 import { createMemoryTableService } from "oleandergap-platform";
 import { createSeededRandom, createSystemClock } from "oleandergap-utils";
 import { createNodeMetrics } from "../admin/metrics.js";
@@ -20,7 +21,6 @@
     createAnnouncement,
     createCleanup,
     createIsolatedContainment,
-    createIsolatedRollouts,
     createGateHeaders,
     LOOPBACK,
     startGate,
@@ -83,7 +83,7 @@
             createPartLogger: createLogger,
             metrics: createNodeMetrics(),
             containment: createIsolatedContainment(clock),
-            rollouts: createIsolatedRollouts(clock),
+            rollouts: createIsolatedRollouts({ clock, tableService: createMemoryTableService() }),
             view: () => view,
             publishTarget: () => undefined,
             directory: { targetsOf: () => targets },
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -5,7 +5,7 @@
 import { createGate, defaultGateOptions } from "oleandergap-gate";
 import type { ClaimManager, ClaimRequest, ClaimResult } from "oleandergap-idempotency";
 import { createLogger } from "oleandergap-logger";
-import { createRollouts, defaultRolloutOptions, type LocalTargetState, type Rollouts } from "oleandergap-rollout";
+import { createIsolatedRollouts, type Rollouts } from "oleandergap-rollout";
 import { createMemoryTableService } from "oleandergap-platform";
 import type { Announcement, Clock, Limit, MemberTarget } from "oleandergap-types";
 import { createContainment, defaultContainmentOptions, type Containment } from "oleandergap-containment";
@@ -227,23 +227,6 @@
     signal: new AbortController().signal,
 });
 
-/** Creates the roll-outs of a node that has no peers. */
-export const createIsolatedRollouts = <Peer = never>(
-    clock: Clock,
-    findLocalTarget: () => LocalTargetState | undefined = () => undefined,
-): Rollouts<Peer> => createRollouts<Peer>({
-    nodeId: "lone",
-    clock,
-    random: () => 0,
-    logger: createLogger("test"),
-    options: defaultRolloutOptions,
-    network: { members: () => [], contacts: () => [], isFirstInZone: () => true, send: () => undefined },
-    findZoneRank: () => 0,
-    tableService: createMemoryTableService(),
-    findLocalTarget,
-    signal: new AbortController().signal,
-});
-
 export interface GateHarness {
     readonly port: number;
     readonly listener: Listener;
@@ -284,7 +267,10 @@
         leavingQueueMs: 1000,
         slowStartMs: COLD_START_MS,
     });
-    const { containment = createIsolatedContainment(clock), rollouts = createIsolatedRollouts(clock) } = options;
+    const {
+        containment = createIsolatedContainment(clock),
+        rollouts = createIsolatedRollouts({ clock, tableService: createMemoryTableService() }),
+    } = options;
     const serve = createContainmentGuard(clock, containment, createServeAtGate({
         clock,
         pools,
--- a/packages/oleandergap-node/src/control/nodeRoutes.ts
+++ b/packages/oleandergap-node/src/control/nodeRoutes.ts
@@ -100,6 +100,7 @@
                     changeService: createOperatorChanges(dependencies),
                     tables: createOperatorTables(controlPlane),
                     fleet: createOperatorFleet(fleetDependencies),
+                    rollouts: controlPlane.rollouts,
                     clock,
                     logger: operatorLogger,
                 },
--- a/packages/oleandergap-node/src/control/operatorTables.ts
+++ b/packages/oleandergap-node/src/control/operatorTables.ts
@@ -7,6 +7,7 @@
 export const createOperatorTables = ({ store, source, spread }: ControlPlane): TablePort => ({
     isReady: spread.isReady,
     inForce: store.document,
+    listServices: (partner) => [...store.getTables().get(partner)?.services.keys() ?? []],
     accepted: (partner, signal) => async () => {
         const document = await source.readDocument(partner, signal)();
         return either.isLeft(document) ? document : either.right(document.right ?? createEmptyDocument(partner));
--- a/packages/oleandergap-operator/src/__tests__/fakes.ts
+++ b/packages/oleandergap-operator/src/__tests__/fakes.ts
@@ -5,6 +5,8 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { CellConflict, CellEdit, ChangeError, ChangeOutcome, ChangeRequest } from "oleandergap-configuration";
 import type { Logger } from "oleandergap-logger";
+import { createMemoryTableService } from "oleandergap-platform";
+import { createIsolatedRollouts } from "oleandergap-rollout";
 import type {
     Cells, CellValue, Head, Member, PartnerDocument, PlatformError, TableRow, TableService,
 } from "oleandergap-types";
@@ -187,11 +189,14 @@
     const tables: TablePort = {
         isReady: () => node.ready,
         inForce: readDocument,
+        listServices: () => ["grant-filer"],
         accepted: (partner) => async () =>
             table.failure === undefined ? either.right(readDocument(partner)) : either.left(table.failure),
         acceptedHeads: () => async () =>
             table.failure === undefined ? either.right([createHead("halloway", 7)]) : either.left(table.failure),
     };
+    const clock = createSystemClock();
+    const rollouts = createIsolatedRollouts({ clock, tableService: createMemoryTableService() });
     const fleet: FleetPort = {
         report: () => Promise.resolve(node.report),
         drain: ({ nodeId, service }) => async () => {
@@ -201,7 +206,7 @@
     };
     const logger = createRecordingLogger(lines);
     const node: FakeNode = {
-        services: { changeService: changes, tables, fleet, logger, clock: createSystemClock() },
+        services: { changeService: changes, tables, fleet, rollouts, logger, clock },
         table,
         changes,
         report: { nodes: [], unknownZones: [] },
--- a/packages/oleandergap-operator/src/client/operatorClient.ts
+++ b/packages/oleandergap-operator/src/client/operatorClient.ts
@@ -6,15 +6,17 @@
 import type { z } from "zod";
 import { isWellFormedCredential } from "../credentials/credential.js";
 import { OPERATOR_PATH_PREFIX } from "../handler.js";
-import type { ChangeInput, DrainInput, PageInput, RowInput, TableInput, ValidateInput } from "../schemas/inputs.js";
+import type {
+    AbortRolloutInput, ChangeInput, DrainInput, PageInput, RowInput, StartRolloutInput, TableInput, ValidateInput,
+} from "../schemas/inputs.js";
 import type { OperatorError } from "../schemas/operatorError.js";
 import type { OperatorRouter } from "../procedures/router.js";
 import { startTimeLimit } from "oleandergap-utils";
 import {
-    auditViewSchema, changeOutcomeSchema, drainViewSchema, historyViewSchema, membersViewSchema, rowViewSchema,
-    tableViewSchema, targetsViewSchema, validationViewSchema, versionsViewSchema, type AuditView,
+    auditViewSchema, changeOutcomeSchema, drainViewSchema, historyViewSchema, membersViewSchema, rolloutsViewSchema,
+    rowViewSchema, tableViewSchema, targetsViewSchema, validationViewSchema, versionsViewSchema, type AuditView,
     type ChangeOutcomeView, type DrainView, type HistoryView, type MembersView, type OperatorRowView,
-    type OperatorTableView, type TargetsView, type ValidationView, type VersionsView,
+    type OperatorTableView, type RolloutsView, type TargetsView, type ValidationView, type VersionsView,
 } from "../schemas/views.js";
 import { classifyFailure, parseResponse, type AttemptResult } from "./attempt.js";
 import { queryNodes } from "./queryNodes.js";
@@ -52,6 +54,9 @@
     readonly listMembers: () => ProcedureCall<MembersView>;
     readonly listTargets: () => ProcedureCall<TargetsView>;
     readonly drainTarget: (input: DrainInput) => ProcedureCall<DrainView>;
+    readonly startRollout: (input: StartRolloutInput) => ProcedureCall<RolloutsView>;
+    readonly listRollouts: () => ProcedureCall<RolloutsView>;
+    readonly abortRollout: (input: AbortRolloutInput) => ProcedureCall<RolloutsView>;
 }
 
 type RouterClient = TRPCClient<OperatorRouter>;
@@ -172,5 +177,17 @@
             schema: drainViewSchema,
             send: (client, abortSignal) => client.target.drain.mutate(input, { signal: abortSignal }),
         }),
+        startRollout: (input) => callProcedure({
+            schema: rolloutsViewSchema,
+            send: (client, abortSignal) => client.rollout.start.mutate(input, { signal: abortSignal }),
+        }),
+        listRollouts: () => callProcedure({
+            schema: rolloutsViewSchema,
+            send: (client, abortSignal) => client.rollout.list.query(undefined, { signal: abortSignal }),
+        }),
+        abortRollout: (input) => callProcedure({
+            schema: rolloutsViewSchema,
+            send: (client, abortSignal) => client.rollout.abort.mutate(input, { signal: abortSignal }),
+        }),
     };
 };
--- a/packages/oleandergap-operator/src/ports.ts
+++ b/packages/oleandergap-operator/src/ports.ts
@@ -4,8 +4,9 @@
  */
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import type { ChangeService } from "oleandergap-configuration";
+import type { Rollouts } from "oleandergap-rollout";
 import type {
-    Head, Member, NodeId, PartnerDocument, PartnerName, PlatformError, ServiceReference, ZoneName,
+    Head, Member, NodeId, PartnerDocument, PartnerName, PlatformError, ServiceName, ServiceReference, ZoneName,
 } from "oleandergap-types";
 
 /**
@@ -20,6 +21,8 @@
     readonly isReady: () => boolean;
     /** Returns the version that this node serves from. */
     readonly inForce: (partner: PartnerName) => PartnerDocument;
+    /** Returns the services in the version that this node serves from. */
+    readonly listServices: (partner: PartnerName) => readonly ServiceName[];
     /** Reads the newest accepted version from the platform. */
     readonly accepted: (partner: PartnerName, signal: AbortSignal) => TaskEither<PlatformError, PartnerDocument>;
     /** Reads the accepted heads of all partners from the platform in one read. */
@@ -66,3 +69,6 @@
         signal: AbortSignal,
     ) => TaskEither<DrainError, void>;
 }
+
+/** Roll-outs as this node knows them. */
+export type RolloutPort = Pick<Rollouts<never>, "submit" | "abort" | "list">;
--- a/packages/oleandergap-operator/src/procedures/context.ts
+++ b/packages/oleandergap-operator/src/procedures/context.ts
@@ -4,13 +4,14 @@
 import type { Clock } from "oleandergap-types";
 import type { CredentialError } from "../credentials/credentialChecker.js";
 import type { OperatorIdentity } from "../credentials/identity.js";
-import type { ChangePort, FleetPort, TablePort } from "../ports.js";
+import type { ChangePort, FleetPort, RolloutPort, TablePort } from "../ports.js";
 
 /** Services of the node that the procedures use. They are shared by all requests. */
 export interface OperatorServices {
     readonly changeService: ChangePort;
     readonly tables: TablePort;
     readonly fleet: FleetPort;
+    readonly rollouts: RolloutPort;
     readonly clock: Clock;
     readonly logger: Logger;
 }
--- a/packages/oleandergap-operator/src/procedures/router.ts
+++ b/packages/oleandergap-operator/src/procedures/router.ts
@@ -2,6 +2,7 @@
 import { changeRouter } from "./change.js";
 import { fleetRouter } from "./fleet.js";
 import { auditRouter, historyRouter } from "./history.js";
+import { rolloutRouter } from "./rollout.js";
 import { tableRouter } from "./table.js";
 import { targetRouter } from "./target.js";
 import { router } from "./trpc.js";
@@ -14,6 +15,7 @@
     audit: auditRouter,
     fleet: fleetRouter,
     target: targetRouter,
+    rollout: rolloutRouter,
 });
 
 /** Router type from which the type of the tRPC client is derived. */
--- a/packages/oleandergap-operator/src/schemas/inputs.ts
+++ b/packages/oleandergap-operator/src/schemas/inputs.ts
@@ -1,5 +1,6 @@
 /** Inputs of the procedures. Unknown keys are rejected, so that a misspelt key is never silently ignored. */
 import { cellEditsSchema, changeIdSchema, pageRequestSchema } from "oleandergap-configuration";
+import { rolloutOrderSchema } from "oleandergap-rollout";
 import { nodeIdSchema, serviceNameSchema } from "oleandergap-types";
 import { z } from "zod";
 
@@ -30,3 +31,11 @@
 /** Selects the node whose target is drained. */
 export const drainInputSchema = z.strictObject({ nodeId: nodeIdSchema });
 export type DrainInput = z.infer<typeof drainInputSchema>;
+
+/** Orders a roll-out. The id makes a repeated order harmless. */
+export const startRolloutInputSchema = rolloutOrderSchema.extend({ service: serviceNameSchema });
+export type StartRolloutInput = z.infer<typeof startRolloutInputSchema>;
+
+/** Selects the roll-out that is stopped. */
+export const abortRolloutInputSchema = z.strictObject({ service: serviceNameSchema });
+export type AbortRolloutInput = z.infer<typeof abortRolloutInputSchema>;
--- a/packages/oleandergap-operator/src/schemas/views.ts
+++ b/packages/oleandergap-operator/src/schemas/views.ts
@@ -15,6 +15,7 @@
     serviceNameSchema,
     zoneNameSchema,
 } from "oleandergap-types";
+import { rolloutStateSchema } from "oleandergap-rollout";
 import { z } from "zod";
 import { tableSourceSchema } from "./inputs.js";
 
@@ -174,3 +175,22 @@
 /** Target that is being drained. */
 export const drainViewSchema = z.object({ nodeId: nodeIdSchema, service: serviceNameSchema });
 export type DrainView = z.infer<typeof drainViewSchema>;
+
+/** Roll-out of a service of the operator's partner. */
+const rolloutViewSchema = z.object({
+    id: z.string(),
+    service: serviceNameSchema,
+    version: z.string(),
+    state: rolloutStateSchema,
+    reason: z.string(),
+    /** Time since the order, and from the order to the deadline, in milliseconds. */
+    ageMs: z.number(),
+    durationMs: z.number(),
+    /** Number of requests of the new version and of the others, as far as this node knows. */
+    newRequests: z.number(),
+    otherRequests: z.number(),
+});
+export type RolloutView = z.infer<typeof rolloutViewSchema>;
+/** Latest roll-out of each service of the operator's partner. */
+export const rolloutsViewSchema = z.object({ partner: partnerNameSchema, rollouts: z.array(rolloutViewSchema) });
+export type RolloutsView = z.infer<typeof rolloutsViewSchema>;
--- a/packages/oleandergap-rollout/src/index.ts
+++ b/packages/oleandergap-rollout/src/index.ts
@@ -17,6 +17,7 @@
 export {
     isSameService,
     rolloutOrderSchema,
+    rolloutStateSchema,
     targetVersionSchema,
     type Rollout,
     type RolloutOrder,
@@ -27,3 +28,4 @@
 export type { LocalTargetState } from "./targetReporter.js";
 export * from "./measure/fleetPlan.js";
 export { simulateRollout, type SimulationOptions, type SimulationResult } from "./measure/simulateRollout.js";
+export { createIsolatedRollouts } from "./testing/isolatedRollouts.js";
--- a/packages/oleandergap-rollout/src/rollouts.ts
+++ b/packages/oleandergap-rollout/src/rollouts.ts
@@ -47,6 +47,8 @@
     readonly receive: (from: Peer, message: RolloutMessage) => void;
     /** Starts a roll-out. Does nothing if the order is known already. */
     readonly submit: (order: RolloutOrder) => void;
+    /** Stops a roll-out that is under way. */
+    readonly abort: (rolloutId: string, reason: string) => void;
     readonly split: Participations["split"];
     /** Returns whether a target of this version may receive requests. */
     readonly mayServe: (service: ServiceReference, version: TargetVersion | undefined) => boolean;
@@ -129,6 +131,12 @@
                 decider.apply({ order, orderedAt: now, state: "running", since: now, reason: "ordered" });
             }
         },
+        abort: (rolloutId, reason) => {
+            const known = store.findById(rolloutId);
+            if (known !== undefined && !isFinal(known.rollout.state)) {
+                decider.apply({ ...known.rollout, state: "stopping", since: clock.monotonic(), reason });
+            }
+        },
         split: participations.split,
         mayServe: (service, version) => {
             const rollout = store.find(service)?.rollout;
