--- a/packages/oleandergap-demo/src/fleet/targetSettings.ts
+++ b/packages/oleandergap-demo/src/fleet/targetSettings.ts
@@ -16,6 +16,7 @@
             id: vm.id,
             partner: target.partner,
             service: target.service,
+            ...target.version === undefined ? {} : { version: target.version },
             address,
             port: plan.ports.target,
             slots: target.slots,
--- a/packages/oleandergap-demo/src/plan/deployments.ts
+++ b/packages/oleandergap-demo/src/plan/deployments.ts
@@ -109,16 +109,29 @@
     readonly targets: number;
     readonly portBase?: number;
     readonly behaviour?: TargetBehaviour;
+    /** Versions that the targets announce in turn; none if absent. */
+    readonly versions?: readonly string[];
     /** Settings that are merged into the settings file of every daemon. */
     readonly settings?: FleetPlan["settings"];
 }
 
 /** Creates a plan with one service of the first partner in its three availability zones and one VM per target. */
-export const createOneServicePlan = ({ targets, portBase, behaviour, settings }: OneServiceOptions): FleetPlan => {
+export const createOneServicePlan = (
+    { targets, portBase, behaviour, versions, settings }: OneServiceOptions,
+): FleetPlan => {
     const plan = createDeploymentPlan([
         { ...halloway, services: [{ service: "wills-desk", count: targets, limit: "reading" }] },
     ], portBase);
-    const vms = plan.vms.map((vm) =>
-        vm.target === undefined || behaviour === undefined ? vm : { ...vm, target: { ...vm.target, behaviour } });
+    const vms = plan.vms.map((vm, index) => {
+        const version = versions?.[index % versions.length];
+        return vm.target === undefined ? vm : {
+            ...vm,
+            target: {
+                ...vm.target,
+                ...behaviour === undefined ? {} : { behaviour },
+                ...version === undefined ? {} : { version },
+            },
+        };
+    });
     return { ...plan, vms, ...settings === undefined ? {} : { settings } };
 };
--- a/packages/oleandergap-demo/src/plan/fleetPlan.ts
+++ b/packages/oleandergap-demo/src/plan/fleetPlan.ts
@@ -32,6 +32,8 @@
 export interface TargetPlan {
     readonly partner: PartnerName;
     readonly service: ServiceName;
+    /** Version that the target announces; none if absent. */
+    readonly version?: string;
     readonly slots: number;
     readonly connections: number;
     readonly behaviour?: TargetBehaviour;
--- a/packages/oleandergap-standins/src/target/options.ts
+++ b/packages/oleandergap-standins/src/target/options.ts
@@ -40,6 +40,8 @@
     address: addressSchema.default("127.0.0.1"),
     /** Port number; 0 selects any free port. */
     port: z.number().int().min(0).max(65_535).default(0),
+    /** Version that the target announces; none if absent. */
+    version: z.string().min(1).optional(),
     slots: z.number().int().min(1).default(12),
     connections: z.number().int().min(1).default(120),
     serviceTime: serviceTimeSchema.prefault({}),
--- a/packages/oleandergap-standins/src/target/targetStandIn.ts
+++ b/packages/oleandergap-standins/src/target/targetStandIn.ts
@@ -168,7 +168,7 @@
 };
 
 const createTargetAnnouncer = (state: TargetState, port: number): Announcer | undefined => {
-    const { id, node, partner, service, address, slots, connections, announceEveryMs } = state.options;
+    const { id, node, partner, service, address, version, slots, connections, announceEveryMs } = state.options;
     return node === undefined ? undefined : createAnnouncer({
         node,
         intervalMs: announceEveryMs,
@@ -182,6 +182,7 @@
             connections,
             leaving: state.leavingSince !== undefined,
             instanceId: `${id}/${state.lifetimeCount}`,
+            ...version === undefined ? {} : { version },
         }),
     });
 };
