Roll-outs: names and comments in the terms of the field; rare retries of the many nodes

Change: state writer, record, commit; nodes that are not the first of their zone back off to 15 s. Otherwise the same code.

--- a/packages/oleandergap-node/src/gate/rolloutObserver.ts
+++ b/packages/oleandergap-node/src/gate/rolloutObserver.ts
@@ -15,7 +15,7 @@
 export interface RolloutObserver {
     /** Returns the refusal if the target's version was stopped; undefined otherwise. */
     readonly findRefusal: (target: LocalTarget) => RequestFailure | undefined;
-    /** Records the outcome of a run that started at `startedAt`, once it is known completely. */
+    /** Records the outcome of a run that started at `startedAt`, when its response is complete. */
     readonly observeOutcome: (
         target: LocalTarget,
         request: GateRequest,
--- a/packages/oleandergap-rollout/src/__tests__/settling.test.ts
+++ b/packages/oleandergap-rollout/src/__tests__/rolloutRows.test.ts
@@ -3,7 +3,7 @@
 import { createMemoryTableService, noFault, type PlatformFault } from "oleandergap-platform";
 import type { TableOperation, TableService } from "oleandergap-types";
 import { createManualClock, createSeededRandom, pickIndex, type Random } from "oleandergap-utils";
-import { createRolloutRows, type SettleResult } from "../decision/rolloutRows.js";
+import { createRolloutRows, type CommitResult } from "../decision/rolloutRows.js";
 import { isFinal, type Rollout, type RolloutState } from "../rollout.js";
 import { createOrder, createRollout } from "./support.js";
 
@@ -34,13 +34,13 @@
 });
 
 interface ScheduleResult {
-    /** Final states that any node has learnt from the table, in order. */
+    /** Final states that any node has read from the table, in order. */
     readonly finals: readonly RolloutState[];
     /** State in the table after all late writes. */
     readonly last: RolloutState | undefined;
 }
 
-/** Lets four nodes settle on different states at the same time, with faults of the platform drawn from the seed. */
+/** Lets four nodes commit different states at the same time, with faults of the platform drawn from the seed. */
 const playSchedule = async (
     seed: number,
     wrap: (tableService: TableService) => TableService,
@@ -60,8 +60,8 @@
         const rows = createRolloutRows({ tableService: wrap(table), clock, signal });
         for (let attempt = 0; attempt < 6; attempt++) {
             const state = STATES[pickIndex(random, STATES.length)] ?? "running";
-            const result: SettleResult = await rows.settle(createRollout({ state }));
-            if (result.kind === "Settled" && isFinal(result.rollout.state)) {
+            const result: CommitResult = await rows.commit(createRollout({ state }));
+            if (result.kind === "Committed" && isFinal(result.rollout.state)) {
                 finals.push(result.rollout.state);
             }
             await wait();
@@ -83,7 +83,7 @@
 const isConsistent = ({ finals, last }: ScheduleResult): boolean =>
     new Set([...finals, ...finals.length > 0 ? [last] : []]).size <= 1;
 
-describe("settling on the outcome of a roll-out", () => {
+describe("the row of a roll-out", () => {
     it("never gives two nodes different outcomes, whatever writes are lost or late", async () => {
         for (let seed = 1; seed <= SCHEDULES; seed++) {
             const result = await playSchedule(seed, (table) => table);
@@ -104,9 +104,9 @@
         const { signal } = new AbortController();
         const rows = createRolloutRows({ tableService: table, clock: createManualClock(), signal });
         const later: Rollout = createRollout({ order: createOrder({ id: "order-2" }), orderedAt: 500 });
-        await rows.settle(createRollout({ state: "completed", orderedAt: 100 }));
-        expect(await rows.settle(later)).to.deep.include({ kind: "Settled" });
-        const result = await rows.settle(createRollout({ state: "rolledBack", orderedAt: 100 }));
-        expect(result.kind === "Settled" ? result.rollout.order.id : result).to.equal("order-2");
+        await rows.commit(createRollout({ state: "completed", orderedAt: 100 }));
+        expect(await rows.commit(later)).to.deep.include({ kind: "Committed" });
+        const result = await rows.commit(createRollout({ state: "rolledBack", orderedAt: 100 }));
+        expect(result.kind === "Committed" ? result.rollout.order.id : result).to.equal("order-2");
     });
 });
--- a/packages/oleandergap-rollout/src/__tests__/rolloutState.test.ts
+++ b/packages/oleandergap-rollout/src/__tests__/rolloutState.test.ts
@@ -20,16 +20,16 @@
 }).map(({ id, orderedAt, state, since }) =>
     createRollout({ order: createOrder({ id }), orderedAt, state, since }));
 
-describe("what nodes know about a roll-out", () => {
+describe("the record of a roll-out", () => {
     it("never leaves a final state of an order, whatever arrives later", () => {
         fc.assert(fc.property(fc.array(rolloutArbitrary), (received) => {
-            let known: Rollout | undefined;
+            let record: Rollout | undefined;
             for (const rollout of received) {
-                const next = mergeRollout(known, rollout);
-                if (known !== undefined && isFinal(known.state) && next.order.id === known.order.id) {
-                    expect(next.state).to.equal(known.state);
+                const next = mergeRollout(record, rollout);
+                if (record !== undefined && isFinal(record.state) && next.order.id === record.order.id) {
+                    expect(next.state).to.equal(record.state);
                 }
-                known = next;
+                record = next;
             }
         }));
     });
--- a/packages/oleandergap-rollout/src/decision/decider.ts
+++ b/packages/oleandergap-rollout/src/decision/decider.ts
@@ -2,13 +2,13 @@
 import type { Logger } from "oleandergap-logger";
 import { formatServiceReference, type Clock, type Milliseconds } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
-import type { KnownRollout, RolloutStore } from "../exchange/rolloutStore.js";
+import type { RolloutRecord, RolloutStore } from "../exchange/rolloutStore.js";
 import type { RolloutVerdict } from "../judge/judge.js";
 import type { RolloutOptions } from "../options.js";
 import { planChange, type RolloutCapacity } from "../plan/plan.js";
 import { isFinal, type Rollout } from "../rollout.js";
 import type { RolloutRows } from "./rolloutRows.js";
-import { createSettler, toSettledState } from "./settler.js";
+import { createStateWriter, toStoredState } from "./stateWriter.js";
 
 /** Dependencies of a decider. */
 export interface DeciderDependencies {
@@ -17,7 +17,7 @@
     readonly logger: Logger;
     readonly options: RolloutOptions;
     readonly store: RolloutStore;
-    readonly rows: Pick<RolloutRows, "settle">;
+    readonly rows: Pick<RolloutRows, "commit">;
     /** Returns the position of this node's zone if it is the first node there; undefined otherwise. */
     readonly findZoneRank: () => number | undefined;
     /** Returns the latest verdict of this node. */
@@ -34,10 +34,10 @@
     /** Handles a roll-out that has changed in the store. */
     readonly handleChange: (rollout: Rollout) => void;
     /** Does what is due for a roll-out according to the verdict. */
-    readonly decide: (known: KnownRollout, verdict: RolloutVerdict) => void;
+    readonly decide: (record: RolloutRecord, verdict: RolloutVerdict) => void;
 }
 
-const measureCapacity = ({ rollout, reports }: KnownRollout): RolloutCapacity => {
+const measureCapacity = ({ rollout, reports }: RolloutRecord): RolloutCapacity => {
     const capacity = { newSlots: 0, oldSlots: 0, oldInFlight: 0 };
     for (const { report } of reports.values()) {
         if (report.version === rollout.order.version) {
@@ -59,19 +59,19 @@
 
     /** Returns a roll-out with the state that has to be written for it. */
     const toDue = (rollout: Rollout, state: Rollout["state"], reason: string, now: Milliseconds): Rollout =>
-        ({ ...rollout, state: toSettledState(state), since: now, reason });
+        ({ ...rollout, state: toStoredState(state), since: now, reason });
 
     const findDue = (rolloutId: string): Rollout | undefined => {
-        const known = store.findById(rolloutId);
-        if (known === undefined || isFinal(known.rollout.state)) {
+        const record = store.findById(rolloutId);
+        if (record === undefined || isFinal(record.rollout.state)) {
             return undefined;
         }
-        const { rollout } = known;
+        const { rollout } = record;
         const now = clock.monotonic();
         if (rollout.state === "stopping") {
             return toDue(rollout, rollout.state, rollout.reason, now);
         }
-        const change = planChange(rollout, getVerdict(rollout), measureCapacity(known), now, options);
+        const change = planChange(rollout, getVerdict(rollout), measureCapacity(record), now, options);
         if (change !== undefined) {
             return toDue(rollout, change.state, change.reason, now);
         }
@@ -89,7 +89,7 @@
             unstoredOrders.add(order.id);
         }
         if (mustCreateRow || state === "stopping") {
-            settler.start(order.id);
+            stateWriter.start(order.id);
         }
     };
 
@@ -101,14 +101,14 @@
         }
     };
 
-    const settler = createSettler({
+    const stateWriter = createStateWriter({
         clock,
         random,
         logger,
         rows,
         findZoneRank,
         findDue,
-        onSettled: (rollout) => {
+        onStored: (rollout) => {
             unstoredOrders.delete(rollout.order.id);
             apply(rollout);
         },
@@ -118,16 +118,16 @@
     return {
         apply,
         handleChange,
-        decide: (known, verdict) => {
-            const { rollout } = known;
+        decide: (record, verdict) => {
+            const { rollout } = record;
             const now = clock.monotonic();
-            const change = planChange(rollout, verdict, measureCapacity(known), now, options);
+            const change = planChange(rollout, verdict, measureCapacity(record), now, options);
             if (change?.state === "stopping") {
                 apply({ ...rollout, state: "stopping", since: now, reason: change.reason });
                 return;
             }
             if (change !== undefined || rollout.state === "stopping") {
-                settler.start(rollout.order.id);
+                stateWriter.start(rollout.order.id);
             }
         },
     };
--- a/packages/oleandergap-rollout/src/decision/rolloutRows.ts
+++ b/packages/oleandergap-rollout/src/decision/rolloutRows.ts
@@ -1,6 +1,6 @@
 /**
- * Rows of roll-outs in the platform's table. A row holds the state that the whole fleet has settled on: nodes change it
- * only under a condition on the row that they have read, so that two nodes never settle on different outcomes.
+ * Rows of roll-outs in the platform's table. A row holds the committed state of a roll-out: nodes change it
+ * only under a condition on the row that they have read, so that two nodes never commit different outcomes.
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
@@ -33,10 +33,10 @@
 });
 type RolloutRow = z.infer<typeof rolloutRowSchema>;
 
-/** Result of an attempt to settle on a state. */
-export type SettleResult =
+/** Result of an attempt to commit a state. */
+export type CommitResult =
     /** The row contains this state, or another one that came first. */
-    | { readonly kind: "Settled"; readonly rollout: Rollout }
+    | { readonly kind: "Committed"; readonly rollout: Rollout }
     /** The row changed between the read and the write, or the platform did not answer. It has to be read again. */
     | { readonly kind: "Retry"; readonly reason: string };
 
@@ -50,12 +50,12 @@
 /** Access to the rows of roll-outs. */
 export interface RolloutRows {
     /** Tries once to make `desired` the state in the row. */
-    readonly settle: (desired: Rollout) => Promise<SettleResult>;
+    readonly commit: (desired: Rollout) => Promise<CommitResult>;
     /** Reads all rows; invalid ones are left out. */
     readonly load: () => Promise<Either<PlatformError, readonly Rollout[]>>;
 }
 
-const describeFailure = (error: PlatformError): SettleResult => ({ kind: "Retry", reason: error.kind });
+const describeFailure = (error: PlatformError): CommitResult => ({ kind: "Retry", reason: error.kind });
 
 /** Creates the access. It makes no call before one of its functions is called. */
 export const createRolloutRows = ({ tableService, clock, signal }: RolloutRowsDependencies): RolloutRows => {
@@ -107,7 +107,7 @@
         return precedes ? stored : undefined;
     };
 
-    const settle: RolloutRows["settle"] = async (desired) => {
+    const commit: RolloutRows["commit"] = async (desired) => {
         const key = ROLLOUT_KEY_PREFIX + formatServiceReference(desired.order.service);
         const rows = await callWithTimeout((callSignal) => tableService.read([key], callSignal)());
         if (either.isLeft(rows)) {
@@ -116,7 +116,7 @@
         const row = rows.right.at(0);
         const preceding = findPrecedingState(row && parseRow(row), desired);
         if (preceding !== undefined) {
-            return { kind: "Settled", rollout: preceding };
+            return { kind: "Committed", rollout: preceding };
         }
         const condition: RowCondition = row === undefined ?
             { kind: "Absent" } :
@@ -128,12 +128,12 @@
             return describeFailure(result.left);
         }
         return result.right.kind === "Committed" ?
-            { kind: "Settled", rollout: desired } :
+            { kind: "Committed", rollout: desired } :
             { kind: "Retry", reason: "another node changed the row" };
     };
 
     return {
-        settle,
+        commit,
         load: async () => {
             const rows = await callWithTimeout((callSignal) =>
                 tableService.scan({ prefix: ROLLOUT_KEY_PREFIX, limit: MAX_ROWS_READ }, callSignal)());
--- a/packages/oleandergap-rollout/src/decision/settler.ts
+++ b/packages/oleandergap-rollout/src/decision/stateWriter.ts
@@ -1,7 +1,7 @@
 /**
- * Writes the states of roll-outs to the platform's table. Any node may write; a short wait that depends on the node
- * leaves the write to one of them as a rule. Which node writes first does not matter for the outcome, because each
- * write has a condition.
+ * Writes the states of roll-outs to the platform's table. Any node may write; nodes wait for different times, so that
+ * one of them usually writes alone. Which node writes first does not matter for the outcome, because each write has a
+ * condition.
  */
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds } from "oleandergap-types";
@@ -11,39 +11,41 @@
 
 const BACKOFF_BASE_MS: Milliseconds = 100;
 const BACKOFF_MAXIMUM_MS: Milliseconds = 2000;
+/** The other nodes retry rarely, because there are many of them while the platform is down. */
+const OTHER_NODES_BACKOFF_MAXIMUM_MS: Milliseconds = 15_000;
 /** Wait of the first node of a zone, for each zone that precedes its own. */
 const ZONE_DELAY_MS: Milliseconds = 300;
 /** Minimum wait of every other node. A random time up to the same length is added. */
 const OTHER_NODES_DELAY_MS: Milliseconds = 1500;
 
-/** Dependencies of a settler. */
-export interface SettlerDependencies {
+/** Dependencies of a state writer. */
+export interface StateWriterDependencies {
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: Logger;
-    readonly rows: Pick<RolloutRows, "settle">;
+    readonly rows: Pick<RolloutRows, "commit">;
     /** Returns the position of this node's zone if it is the first node there; undefined otherwise. */
     readonly findZoneRank: () => number | undefined;
     /** Returns the state of the roll-out that is due but not in the table yet; undefined if there is none. */
     readonly findDue: (rolloutId: string) => Rollout | undefined;
     /** Runs with the state that the table contains. */
-    readonly onSettled: (rollout: Rollout) => void;
+    readonly onStored: (rollout: Rollout) => void;
     readonly signal: AbortSignal;
 }
 
 /** Writes due states. */
-export interface Settler {
+export interface StateWriter {
     /** Starts to write what is due for a roll-out. Does nothing while an earlier start is still at work. */
     readonly start: (rolloutId: string) => void;
 }
 
 /** State that is written for a state that a node has found due. */
-export const toSettledState = (state: RolloutState): RolloutState => state === "stopping" ? "rolledBack" : state;
+export const toStoredState = (state: RolloutState): RolloutState => state === "stopping" ? "rolledBack" : state;
 
-/** Creates a settler without work. */
-export const createSettler = (
-    { clock, random, logger, rows, findZoneRank, findDue, onSettled, signal }: SettlerDependencies,
-): Settler => {
+/** Creates a state writer without work. */
+export const createStateWriter = (
+    { clock, random, logger, rows, findZoneRank, findDue, onStored, signal }: StateWriterDependencies,
+): StateWriter => {
     const active = new Set<string>();
 
     const computeFirstDelay = (): Milliseconds => {
@@ -56,19 +58,20 @@
         if (due === undefined) {
             return true;
         }
-        const result = await rows.settle(due);
+        const result = await rows.commit(due);
         if (result.kind === "Retry") {
             logger.info("The state of a roll-out could not be written.", { rollout: rolloutId, reason: result.reason });
             return false;
         }
-        onSettled(result.rollout);
+        onStored(result.rollout);
         return isFinal(result.rollout.state) || findDue(rolloutId) === undefined;
     };
 
     const run = async (rolloutId: string): Promise<void> => {
         await clock.sleep(computeFirstDelay(), signal);
         for (let failures = 0; !signal.aborted && !await tryOnce(rolloutId); failures++) {
-            await clock.sleep(drawBackoff(random, failures, BACKOFF_BASE_MS, BACKOFF_MAXIMUM_MS), signal);
+            const maximum = findZoneRank() === undefined ? OTHER_NODES_BACKOFF_MAXIMUM_MS : BACKOFF_MAXIMUM_MS;
+            await clock.sleep(drawBackoff(random, failures, BACKOFF_BASE_MS, maximum), signal);
         }
     };
 
--- a/packages/oleandergap-rollout/src/exchange/rolloutGossip.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutGossip.ts
@@ -61,7 +61,7 @@
     /** Sends a roll-out that is new in the store to other nodes at once, and starts the rounds. */
     readonly broadcast: (rollout: Rollout) => void;
     readonly receive: (from: Peer, message: RolloutMessage) => void;
-    /** Returns whether this node knows the roll-outs of the fleet. */
+    /** Returns whether this node has received the roll-outs of the fleet. */
     readonly isInformed: () => boolean;
 }
 
--- a/packages/oleandergap-rollout/src/exchange/rolloutMessage.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutMessage.ts
@@ -37,9 +37,9 @@
         rollout: rolloutOrderSchema.shape.id,
         reports: z.array(targetReportSchema).max(MAX_REPORTS_PER_MESSAGE),
     }),
-    /** Requests all roll-outs and reports that the receiver knows. */
+    /** Requests all roll-outs and reports of the receiver. */
     z.strictObject({ kind: z.literal("Query") }),
-    /** Ends the answer to a query. `isInformed` states whether the sender knows the roll-outs of the fleet. */
+    /** Ends the answer to a query. `isInformed` states whether the sender has the roll-outs of the fleet. */
     z.strictObject({ kind: z.literal("Answered"), isInformed: z.boolean() }),
 ]);
 /** See {@link rolloutMessageSchema}. */
--- a/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
@@ -1,4 +1,4 @@
-/** The roll-outs and reports that one node knows. */
+/** The roll-outs and reports that one node has received or created. */
 import { formatServiceReference, type Milliseconds, type NodeId, type ServiceReference } from "oleandergap-types";
 import { isNewerReport, type ReceivedReport, type TargetReport, type TargetReports } from "../judge/tally.js";
 import { mergeRollout, type Rollout } from "../rollout.js";
@@ -11,7 +11,7 @@
 const PARTS_PER_ROUND = 2 * MAX_REPORT_PARTS;
 
 /** A roll-out and the reports of its service's targets. */
-export interface KnownRollout {
+export interface RolloutRecord {
     readonly rollout: Rollout;
     readonly reports: TargetReports;
     /** Increased with each change of the roll-out or of the versions and states in the reports. */
@@ -22,7 +22,7 @@
     isSent: boolean;
 }
 
-interface StoredRollout extends KnownRollout {
+interface StoredRollout extends RolloutRecord {
     rollout: Rollout;
     reports: Map<NodeId, StoredReport>;
     revision: number;
@@ -34,9 +34,9 @@
     readonly merge: (rollout: Rollout) => Rollout | undefined;
     /** Adds a report. Returns false if it is not newer or its roll-out is unknown. */
     readonly addReport: (rolloutId: string, report: TargetReport, now: Milliseconds) => boolean;
-    readonly find: (service: ServiceReference) => KnownRollout | undefined;
-    readonly findById: (rolloutId: string) => KnownRollout | undefined;
-    readonly list: () => readonly KnownRollout[];
+    readonly find: (service: ServiceReference) => RolloutRecord | undefined;
+    readonly findById: (rolloutId: string) => RolloutRecord | undefined;
+    readonly list: () => readonly RolloutRecord[];
     /**
      * Returns reports of a roll-out that were not sent on yet, those of the new version first, and marks them as sent.
      * Each report is sent on once, to several nodes: that reaches nearly every node of a large fleet, and a node that
@@ -58,15 +58,15 @@
 
     const merge: RolloutStore["merge"] = (received) => {
         const key = formatServiceReference(received.order.service);
-        const known = stored.get(key);
-        const merged = mergeRollout(known?.rollout, received);
-        if (merged === known?.rollout) {
+        const record = stored.get(key);
+        const merged = mergeRollout(record?.rollout, received);
+        if (merged === record?.rollout) {
             return undefined;
         }
-        if (known?.rollout.order.id === merged.order.id) {
-            const isNewState = known.rollout.state !== merged.state;
-            known.rollout = merged;
-            known.revision += 1;
+        if (record?.rollout.order.id === merged.order.id) {
+            const isNewState = record.rollout.state !== merged.state;
+            record.rollout = merged;
+            record.revision += 1;
             return isNewState ? merged : undefined;
         }
         stored.set(key, { rollout: merged, reports: new Map(), revision: 0 });
@@ -74,25 +74,25 @@
     };
 
     const addReport: RolloutStore["addReport"] = (rolloutId, report, now) => {
-        const known = findById(rolloutId);
-        const previous = known?.reports.get(report.node)?.report;
-        if (known === undefined || !isNewerReport(previous, report)) {
+        const record = findById(rolloutId);
+        const previous = record?.reports.get(report.node)?.report;
+        if (record === undefined || !isNewerReport(previous, report)) {
             return false;
         }
-        known.reports.set(report.node, { report, at: now, isSent: false });
+        record.reports.set(report.node, { report, at: now, isSent: false });
         if (changesSplit(previous, report)) {
-            known.revision += 1;
+            record.revision += 1;
         }
         return true;
     };
 
     const takeReports: RolloutStore["takeReports"] = (rolloutId) => {
-        const known = findById(rolloutId);
-        if (known === undefined) {
+        const record = findById(rolloutId);
+        if (record === undefined) {
             return [];
         }
-        const isNew = ({ report }: StoredReport): boolean => report.version === known.rollout.order.version;
-        const unsent = [...known.reports.values()].filter(({ isSent }) => !isSent);
+        const isNew = ({ report }: StoredReport): boolean => report.version === record.rollout.order.version;
+        const unsent = [...record.reports.values()].filter(({ isSent }) => !isSent);
         let remaining = PARTS_PER_ROUND;
         const taken = [...unsent.filter(isNew), ...unsent.filter((stored) => !isNew(stored))].filter(({ report }) => {
             remaining -= getReportSize(report);
--- a/packages/oleandergap-rollout/src/judge/control.ts
+++ b/packages/oleandergap-rollout/src/judge/control.ts
@@ -8,8 +8,8 @@
     /** Lets the outcomes fade by the time since the last call. */
     readonly fade: (elapsed: Milliseconds) => void;
     /**
-     * Returns the outcomes over a shorter and a longer time. A version is judged by the one that speaks more for it:
-     * the shorter one shows a disturbance of both versions at once, the longer one is the more exact in calm times.
+     * Returns the outcomes over a shorter and a longer time. The comparison uses the one that is more favourable to the
+     * new version: the shorter one shows a disturbance of both versions at once, the longer one is more exact.
      */
     readonly tallies: () => readonly KindTally[];
 }
@@ -22,12 +22,12 @@
     readonly minimumRequests: number;
 }
 
-/** A shorter period with fewer requests shows chance, not a disturbance. */
+/** A shorter period with fewer requests is too small to show a disturbance. */
 const MINIMUM_COMPARED_REQUESTS = 10;
 
 const PERIODS: readonly FadingPeriod[] = [
     { halfLifeMs: 120, minimumRequests: 0 },
-    // These outcomes stay known when the new version gets all requests.
+    // These outcomes remain available when the new version gets all requests.
     { halfLifeMs: 3000, minimumRequests: 50 },
 ];
 
--- a/packages/oleandergap-rollout/src/judge/evidenceSum.ts
+++ b/packages/oleandergap-rollout/src/judge/evidenceSum.ts
@@ -13,7 +13,7 @@
 export interface EvidenceSum {
     /** Adds the log likelihood ratio of new outcomes at one target. */
     readonly add: (node: NodeId, logLikelihoodRatio: number) => void;
-    /** Ends one round of additions: restarts the sum if it speaks for the version. */
+    /** Ends one round of additions: restarts the sum at zero if it is negative. */
     readonly endRound: () => void;
     /** Returns whether the evidence shows that the version is bad. */
     readonly isAlarm: () => boolean;
--- a/packages/oleandergap-rollout/src/judge/sequentialTest.ts
+++ b/packages/oleandergap-rollout/src/judge/sequentialTest.ts
@@ -35,7 +35,7 @@
 const BAD_LATENCY_RATIO = 2.5;
 /** Lower bound of the variance of log latencies. A few similar latencies would make the test overconfident. */
 const MINIMUM_LOG_VARIANCE = 0.3;
-/** Number of latencies of the old version from which its mean is known well enough. */
+/** Minimum number of latencies of the old version for a comparison. */
 const MINIMUM_CONTROL_LATENCIES = 10;
 
 /** Returns the share of failures of the old version, estimated with the rule of succession for few requests. */
--- a/packages/oleandergap-rollout/src/judge/tally.ts
+++ b/packages/oleandergap-rollout/src/judge/tally.ts
@@ -16,7 +16,7 @@
 export const kindTallySchema = z.strictObject({
     /** Name of the route, or {@link OTHER_KINDS}. */
     kind: z.string().max(MAX_KIND_LENGTH),
-    /** Number of requests with a known outcome. */
+    /** Number of requests that ended with a success or a failure of the target. */
     requests: countSchema,
     /** Number of these that failed at the target. */
     failures: countSchema,
--- a/packages/oleandergap-rollout/src/measure/simulateRollout.ts
+++ b/packages/oleandergap-rollout/src/measure/simulateRollout.ts
@@ -31,7 +31,7 @@
 }
 
 const TICK_MS: Milliseconds = 20;
-/** Time before the order in which the fleet settles. */
+/** Time before the order in which the nodes find each other. */
 const WARM_UP_MS: Milliseconds = 4000;
 /** Time after the deadline for which the simulation goes on. */
 const AFTER_DEADLINE_MS: Milliseconds = 3000;
--- a/packages/oleandergap-rollout/src/measure/simulatedFleet.ts
+++ b/packages/oleandergap-rollout/src/measure/simulatedFleet.ts
@@ -18,7 +18,7 @@
 const SLOW_FACTOR = 5;
 const LINK_DELAY_MS: Milliseconds = 2;
 
-/** A node as its peers know it. */
+/** Address of a node in the simulated network. */
 export interface SimulatedPeer {
     readonly id: NodeId;
     readonly zone: string;
--- a/packages/oleandergap-rollout/src/options.ts
+++ b/packages/oleandergap-rollout/src/options.ts
@@ -12,7 +12,7 @@
      * little traffic can be judged at all.
      */
     canarySlack: z.number().int().min(0).max(100_000).default(35),
-    /** Minimum number of targets that the canary requests are sent to, so that one slow target decides nothing. */
+    /** Minimum number of targets that receive canary requests, so that a single slow target is recognised as such. */
     canaryTargets: z.number().int().min(1).max(1000).default(3),
     /** Share of a roll-out's duration after which a version without findings is promoted. */
     promoteAfterShare: shareSchema.default(0.65),
--- a/packages/oleandergap-rollout/src/participation.ts
+++ b/packages/oleandergap-rollout/src/participation.ts
@@ -6,7 +6,7 @@
     type Milliseconds,
     type ServiceReference,
 } from "oleandergap-types";
-import type { KnownRollout, RolloutStore } from "./exchange/rolloutStore.js";
+import type { RolloutRecord, RolloutStore } from "./exchange/rolloutStore.js";
 import type { CreateJudge, RolloutJudge, RolloutVerdict } from "./judge/judge.js";
 import type { RolloutOptions } from "./options.js";
 import { computeCanaryShare, computeRampShare } from "./plan/plan.js";
@@ -49,7 +49,7 @@
     readonly store: Pick<RolloutStore, "find">;
     readonly createJudge: CreateJudge;
     readonly options: RolloutOptions;
-    /** Returns whether this node knows the roll-outs of the fleet. Until then, it sends nothing to a new version. */
+    /** Returns whether this node has the roll-outs of the fleet. Until then, it sends nothing to a new version. */
     readonly isInformed: () => boolean;
 }
 
@@ -57,7 +57,7 @@
 export interface Participations {
     readonly get: (rollout: Rollout) => Participation;
     /** Judges the reports of a roll-out and estimates the rate of the service's requests. */
-    readonly judge: (known: KnownRollout) => RolloutVerdict;
+    readonly judge: (record: RolloutRecord) => RolloutVerdict;
     /** Divides the targets of one request; undefined if the service has no roll-out. */
     readonly split: <Target extends SplitTarget>(
         service: ServiceReference,
@@ -113,7 +113,7 @@
     };
 
     const getSplit = (
-        { rollout, reports, revision }: KnownRollout,
+        { rollout, reports, revision }: RolloutRecord,
         targets: readonly SplitTarget[],
         share: number,
     ): TargetSplit<SplitTarget> => {
@@ -139,15 +139,15 @@
         get,
         judge,
         split: <Target extends SplitTarget>(service: ServiceReference, targets: readonly Target[]) => {
-            const known = store.find(service);
-            if (known === undefined) {
+            const record = store.find(service);
+            if (record === undefined) {
                 return undefined;
             }
-            const share = computeShare(known.rollout);
-            const { trial, base } = getSplit(known, targets, share) as TargetSplit<Target>;
-            const isTrial = get(known.rollout).limiter.take(share, trial.length > 0);
+            const share = computeShare(record.rollout);
+            const { trial, base } = getSplit(record, targets, share) as TargetSplit<Target>;
+            const isTrial = get(record.rollout).limiter.take(share, trial.length > 0);
             return {
-                version: known.rollout.order.version,
+                version: record.rollout.order.version,
                 trial: isTrial ? trial : [],
                 isFullyMoved: share >= 1,
                 base,
--- a/packages/oleandergap-rollout/src/plan/targetSplit.ts
+++ b/packages/oleandergap-rollout/src/plan/targetSplit.ts
@@ -5,7 +5,7 @@
 import type { RolloutOptions } from "../options.js";
 import type { Rollout } from "../rollout.js";
 
-/** A target as the gateway knows it. */
+/** A target in the list of a gateway. */
 export interface SplitTarget {
     readonly nodeId: NodeId;
     readonly leaving: boolean;
--- a/packages/oleandergap-rollout/src/rollout.ts
+++ b/packages/oleandergap-rollout/src/rollout.ts
@@ -37,7 +37,7 @@
 /** See {@link rolloutStateSchema}. */
 export type RolloutState = z.infer<typeof rolloutStateSchema>;
 
-/** A roll-out as one node knows it. Times are on the node's monotonic clock. */
+/** A roll-out as recorded by one node. Times are on the node's monotonic clock. */
 export interface Rollout {
     readonly order: RolloutOrder;
     readonly orderedAt: Milliseconds;
@@ -71,17 +71,17 @@
     left.partner === right.partner && left.service === right.service;
 
 /**
- * Combines what two nodes know about a service's roll-out. The later order replaces the earlier one. Of one order, the
- * later state counts, and the earliest time at which any node received it.
+ * Combines the records of two nodes on the roll-out of a service. The later order replaces the earlier one. For the
+ * same order, the later state applies, and the earliest time at which a node received the order.
  */
-export const mergeRollout = (known: Rollout | undefined, received: Rollout): Rollout => {
-    if (known === undefined) {
+export const mergeRollout = (record: Rollout | undefined, received: Rollout): Rollout => {
+    if (record === undefined) {
         return received;
     }
-    if (known.order.id !== received.order.id) {
-        return received.orderedAt > known.orderedAt ? received : known;
+    if (record.order.id !== received.order.id) {
+        return received.orderedAt > record.orderedAt ? received : record;
     }
-    const later = isLaterState(known.state, received.state) ? received : known;
-    const orderedAt = Math.min(known.orderedAt, received.orderedAt);
-    return later === known && orderedAt === known.orderedAt ? known : { ...later, orderedAt };
+    const later = isLaterState(record.state, received.state) ? received : record;
+    const orderedAt = Math.min(record.orderedAt, received.orderedAt);
+    return later === record && orderedAt === record.orderedAt ? record : { ...later, orderedAt };
 };
--- a/packages/oleandergap-rollout/src/rollouts.ts
+++ b/packages/oleandergap-rollout/src/rollouts.ts
@@ -45,7 +45,7 @@
     /** Starts to ask other nodes for the roll-outs of the fleet. */
     readonly start: () => void;
     readonly receive: (from: Peer, message: RolloutMessage) => void;
-    /** Starts a roll-out. Does nothing if the order is known already. */
+    /** Starts a roll-out. Does nothing if the order was received before. */
     readonly submit: (order: RolloutOrder) => void;
     /** Stops a roll-out that is under way. */
     readonly abort: (rolloutId: string, reason: string) => void;
@@ -60,7 +60,7 @@
 const LOAD_BACKOFF_BASE_MS: Milliseconds = 250;
 const LOAD_BACKOFF_MAXIMUM_MS: Milliseconds = 5000;
 
-/** Creates the participation of a node that knows no roll-out yet. */
+/** Creates the roll-outs of a node that has received no order yet. */
 export const createRollouts = <Peer>(dependencies: RolloutsDependencies<Peer>): Rollouts<Peer> => {
     const { nodeId, clock, random, logger, options, network, findZoneRank, tableService, signal } = dependencies;
     const { createJudge = createSequentialJudge, findLocalTarget } = dependencies;
@@ -88,13 +88,13 @@
     });
 
     const runRound = (): void => {
-        for (const known of store.list()) {
-            const report = reporter.createReport(known);
+        for (const record of store.list()) {
+            const report = reporter.createReport(record);
             if (report !== undefined) {
-                store.addReport(known.rollout.order.id, report, clock.monotonic());
+                store.addReport(record.rollout.order.id, report, clock.monotonic());
             }
-            if (!isFinal(known.rollout.state)) {
-                decider.decide(known, participations.judge(known));
+            if (!isFinal(record.rollout.state)) {
+                decider.decide(record, participations.judge(record));
             }
         }
     };
@@ -132,9 +132,9 @@
             }
         },
         abort: (rolloutId, reason) => {
-            const known = store.findById(rolloutId);
-            if (known !== undefined && !isFinal(known.rollout.state)) {
-                decider.apply({ ...known.rollout, state: "stopping", since: clock.monotonic(), reason });
+            const record = store.findById(rolloutId);
+            if (record !== undefined && !isFinal(record.rollout.state)) {
+                decider.apply({ ...record.rollout, state: "stopping", since: clock.monotonic(), reason });
             }
         },
         split: participations.split,
@@ -144,9 +144,9 @@
             return !isStopped || rollout.order.version !== version;
         },
         recordRun: (service, outcome) => {
-            const known = store.find(service);
-            if (known !== undefined && !isFinal(known.rollout.state)) {
-                reporter.recordRun(known.rollout, outcome);
+            const record = store.find(service);
+            if (record !== undefined && !isFinal(record.rollout.state)) {
+                reporter.recordRun(record.rollout, outcome);
             }
         },
         list: () => store.list().map(({ rollout }) => {
--- a/packages/oleandergap-rollout/src/targetReporter.ts
+++ b/packages/oleandergap-rollout/src/targetReporter.ts
@@ -1,7 +1,7 @@
 /** Creates the reports of this node about its own target. */
 import type { Clock, Milliseconds, NodeId, ServiceReference } from "oleandergap-types";
 import { rankByRendezvous } from "oleandergap-utils";
-import type { KnownRollout } from "./exchange/rolloutStore.js";
+import type { RolloutRecord } from "./exchange/rolloutStore.js";
 import { createOutcomeCounter, type OutcomeCounter, type RunOutcome } from "./judge/outcomeCounter.js";
 import type { TargetReport, TargetReports } from "./judge/tally.js";
 import { isFinal, isSameService, type Rollout, type RolloutState, type TargetVersion } from "./rollout.js";
@@ -27,7 +27,7 @@
 export interface TargetReporter {
     readonly recordRun: (rollout: Rollout, outcome: RunOutcome) => void;
     /** Returns a report if one is due; undefined if the local target does not take part. */
-    readonly createReport: (known: Pick<KnownRollout, "rollout" | "reports">) => TargetReport | undefined;
+    readonly createReport: (record: Pick<RolloutRecord, "rollout" | "reports">) => TargetReport | undefined;
 }
 
 /** Number of targets of the old version that report as often as those of the new version. */
