--- a/packages/oleandergap-node/src/control/peerExchange.ts
+++ b/packages/oleandergap-node/src/control/peerExchange.ts
@@ -1,4 +1,6 @@
-/** Wires the components that exchange messages by gossip besides membership and distribution: containment and roll-outs. */
+/**
+ * Wires the components that exchange messages by gossip besides membership and distribution: containment and roll-outs.
+ */
 import { createContainment, type Containment, type EvidenceMessage } from "oleandergap-containment";
 import type { FleetPort } from "oleandergap-distribution";
 import type { Contact, MessageTransport } from "oleandergap-membership";
