--- a/packages/oleandergap-node/src/__tests__/rolloutObserver.test.ts
+++ b/packages/oleandergap-node/src/__tests__/rolloutObserver.test.ts
@@ -15,10 +15,12 @@
     const clock = createManualClock();
     let outcomes: RunOutcome[];
     let stoppedVersion: string | undefined;
+    let hasRollouts = true;
     const observer = createRolloutObserver({
         clock,
         coldStartMs: COLD_START_MS,
         rollouts: {
+            hasRollouts: () => hasRollouts,
             mayServe: (_service, version) => version !== stoppedVersion,
             recordRun: (_service, outcome) => outcomes.push(outcome),
         },
@@ -27,6 +29,7 @@
     beforeEach(() => {
         outcomes = [];
         stoppedVersion = undefined;
+        hasRollouts = true;
     });
 
     /** Creates a target that started `age` ago. */
@@ -90,6 +93,12 @@
         expect(outcomes).to.deep.equal([]);
     });
 
+    it("does nothing while no roll-out was ordered", () => {
+        hasRollouts = false;
+        const outcome = answer(200);
+        expect(observer.observeOutcome(createTarget(), createRequest(), outcome, 0)).to.equal(outcome);
+    });
+
     it("leaves out the latency of a target that has just started", () => {
         observe(answer(200), { target: createTarget(1000) });
         expect(outcomes).to.deep.equal([{ kind: "view", isFailure: false, latencyMs: undefined }]);
--- a/packages/oleandergap-node/src/gate/rolloutObserver.ts
+++ b/packages/oleandergap-node/src/gate/rolloutObserver.ts
@@ -27,7 +27,7 @@
 /** Dependencies of a rollout observer. */
 export interface RolloutObserverDependencies {
     readonly clock: Clock;
-    readonly rollouts: Pick<Rollouts<never>, "mayServe" | "recordRun">;
+    readonly rollouts: Pick<Rollouts<never>, "hasRollouts" | "mayServe" | "recordRun">;
     /** Duration of a target's cold start. Latencies during that time say nothing about its version. */
     readonly coldStartMs: Milliseconds;
 }
@@ -71,8 +71,13 @@
 
     return {
         findRefusal: ({ announcement }) =>
-            rollouts.mayServe(announcement, announcement.version) ? undefined : stoppedVersionRefusal,
+            !rollouts.hasRollouts() || rollouts.mayServe(announcement, announcement.version) ?
+                undefined :
+                stoppedVersionRefusal,
         observeOutcome: (target, request, outcome, startedAt) => {
+            if (!rollouts.hasRollouts()) {
+                return outcome;
+            }
             if (either.isLeft(outcome)) {
                 if (outcome.left.verdict !== "notRun") {
                     recordLostRun(target, request, startedAt);
--- a/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
@@ -107,7 +107,7 @@
     return {
         merge,
         addReport,
-        find: (service) => stored.get(formatServiceReference(service)),
+        find: (service) => stored.size === 0 ? undefined : stored.get(formatServiceReference(service)),
         findById,
         list: () => [...stored.values()],
         takeReports,
--- a/packages/oleandergap-rollout/src/rollouts.ts
+++ b/packages/oleandergap-rollout/src/rollouts.ts
@@ -49,6 +49,8 @@
     readonly submit: (order: RolloutOrder) => void;
     /** Stops a roll-out that is under way. */
     readonly abort: (rolloutId: string, reason: string) => void;
+    /** Returns whether any order was received. If not, requests need no further checks. */
+    readonly hasRollouts: () => boolean;
     readonly split: Participations["split"];
     /** Returns whether a target of this version may receive requests. */
     readonly mayServe: (service: ServiceReference, version: TargetVersion | undefined) => boolean;
@@ -137,6 +139,7 @@
                 decider.apply({ ...record.rollout, state: "stopping", since: clock.monotonic(), reason });
             }
         },
+        hasRollouts: () => store.list().length > 0,
         split: participations.split,
         mayServe: (service, version) => {
             const rollout = store.find(service)?.rollout;
