--- a/packages/oleandergap-containment/src/containedRows.ts
+++ b/packages/oleandergap-containment/src/containedRows.ts
@@ -6,7 +6,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds, TableService } from "oleandergap-types";
-import { drawBackoff, type Random } from "oleandergap-utils";
+import { callWithTimeLimit, drawBackoff, type Random } from "oleandergap-utils";
 import { z } from "zod";
 import { crashedNodeSchema, crashIdSchema, type Evidence } from "./evidence.js";
 import type { ContainedRequest } from "./evidenceStore.js";
@@ -67,16 +67,8 @@
         }
     };
 
-    const callWithTimeout = async <Result>(call: (callSignal: AbortSignal) => Promise<Result>): Promise<Result> => {
-        const timeoutController = new AbortController();
-        const cancelTimer = clock.after(CALL_TIMEOUT_MS, () => timeoutController.abort());
-        try {
-            return await call(AbortSignal.any([signal, timeoutController.signal]));
-        }
-        finally {
-            cancelTimer();
-        }
-    };
+    const callWithTimeout = <Result>(call: (callSignal: AbortSignal) => Promise<Result>): Promise<Result> =>
+        callWithTimeLimit(clock, CALL_TIMEOUT_MS, signal, call);
 
     const writeOnce = async (fingerprint: Fingerprint): Promise<boolean> => {
         const request = desiredRows.get(fingerprint);
--- a/packages/oleandergap-containment/src/evidenceGossip.ts
+++ b/packages/oleandergap-containment/src/evidenceGossip.ts
@@ -6,7 +6,13 @@
  */
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds } from "oleandergap-types";
-import { createPeerBootstrap, createTokenBucket, pickSeveral, type Random } from "oleandergap-utils";
+import {
+    createPeerBootstrap,
+    createTokenBucket,
+    pickSeveral,
+    type GossipNetwork,
+    type Random,
+} from "oleandergap-utils";
 import type { CrashReport, Evidence, GoodRun } from "./evidence.js";
 import type { EvidenceStore } from "./evidenceStore.js";
 import { decodeEvidence, encodeEvidence, type EvidenceMessage } from "./evidenceMessage.js";
@@ -36,16 +42,8 @@
 const REPLIES_PER_SECOND = 10;
 
 /** The nodes that can be reached, and how to send to them. */
-export interface EvidenceNetwork<Peer> {
-    /** Members of this node's availability zone, without this node. */
-    readonly members: () => readonly Peer[];
-    /** Some nodes of each other availability zone. */
-    readonly contacts: () => readonly Peer[];
+export interface EvidenceNetwork<Peer> extends GossipNetwork<Peer, EvidenceMessage> {
     readonly isInSameZone: (peer: Peer) => boolean;
-    /** Returns whether this node is the first of its zone, in an order that all members of the zone share. */
-    readonly isFirstInZone: () => boolean;
-    /** Sends a message without guaranteed delivery. */
-    readonly send: (to: Peer, message: EvidenceMessage) => void;
 }
 
 /** Dependencies of the gossip. */
--- a/packages/oleandergap-containment/src/evidenceMessage.ts
+++ b/packages/oleandergap-containment/src/evidenceMessage.ts
@@ -3,6 +3,7 @@
  * differ.
  */
 import type { Milliseconds } from "oleandergap-types";
+import { splitIntoChunks } from "oleandergap-utils";
 import { z } from "zod";
 import { crashedNodeSchema, crashIdSchema, type CrashReport, type Evidence, type GoodRun } from "./evidence.js";
 import { fingerprintSchema, type Fingerprint } from "./fingerprint.js";
@@ -45,9 +46,6 @@
 const computeAge = (at: Milliseconds, now: Milliseconds): Milliseconds =>
     Math.min(MAX_AGE_MS, Math.max(0, Math.round(now - at)));
 
-const splitIntoChunks = <Item>(items: readonly Item[], size: number): readonly (readonly Item[])[] =>
-    Array.from({ length: Math.ceil(items.length / size) }, (_, index) => items.slice(index * size, (index + 1) * size));
-
 /** Splits a report into reports with few enough fingerprints to fit into a datagram. */
 const splitReport = (report: CrashReport): readonly CrashReport[] =>
     splitIntoChunks<Fingerprint>(report.fingerprints, MAX_FINGERPRINTS)
--- a/packages/oleandergap-node/src/control/peerExchange.ts
+++ b/packages/oleandergap-node/src/control/peerExchange.ts
@@ -5,17 +5,11 @@
 import type { FleetPort } from "oleandergap-distribution";
 import type { Contact, MessageTransport } from "oleandergap-membership";
 import { createRollouts, type RolloutMessage, type Rollouts } from "oleandergap-rollout";
+import type { GossipPeers } from "oleandergap-utils";
 import type { ControlPlaneDependencies } from "../createControlPlane.js";
 
 /** The nodes that a node sends gossip to. */
-export interface PeerNetwork {
-    /** Members of this node's availability zone, without this node. */
-    readonly members: () => readonly Contact[];
-    /** Some nodes of each other availability zone. */
-    readonly contacts: () => readonly Contact[];
-    /** Returns whether this node is the first of its zone, in an order that all members of the zone share. */
-    readonly isFirstInZone: () => boolean;
-}
+export type PeerNetwork = GossipPeers<Contact>;
 
 /** Creates the view of the fleet for gossip. */
 export const createPeerNetwork = (fleet: FleetPort): PeerNetwork => ({
--- a/packages/oleandergap-operator/src/procedures/rollout.ts
+++ b/packages/oleandergap-operator/src/procedures/rollout.ts
@@ -1,7 +1,7 @@
 /** Procedures for roll-outs. Operators order, see and stop only those of their own partner's services. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { RolloutStatus } from "oleandergap-rollout";
+import { isFinal, type RolloutStatus } from "oleandergap-rollout";
 import type { PartnerName, ServiceName } from "oleandergap-types";
 import type { OperatorContext } from "./context.js";
 import {
@@ -16,8 +16,7 @@
 
 type RolloutsResult = Either<OperatorError, RolloutsView>;
 
-const isUnderWay = ({ rollout }: RolloutStatus): boolean =>
-    rollout.state !== "completed" && rollout.state !== "rolledBack";
+const isUnderWay = ({ rollout }: RolloutStatus): boolean => !isFinal(rollout.state);
 
 const listRollouts = ({ rollouts, identity, clock }: OperatorContext): RolloutsView => ({
     partner: identity.partner,
--- a/packages/oleandergap-rollout/src/decision/rolloutRows.ts
+++ b/packages/oleandergap-rollout/src/decision/rolloutRows.ts
@@ -13,6 +13,7 @@
     type TableRow,
     type TableService,
 } from "oleandergap-types";
+import { callWithTimeLimit } from "oleandergap-utils";
 import { z } from "zod";
 import { isFinal, isLaterState, rolloutOrderSchema, rolloutStateSchema, type Rollout } from "../rollout.js";
 
@@ -62,16 +63,8 @@
     /** Returns the offset from the monotonic to the wall clock. */
     const getWallClockOffset = (): Milliseconds => clock.now() - clock.monotonic();
 
-    const callWithTimeout = async <Result>(call: (callSignal: AbortSignal) => Promise<Result>): Promise<Result> => {
-        const timeoutController = new AbortController();
-        const cancelTimer = clock.after(CALL_TIMEOUT_MS, () => timeoutController.abort());
-        try {
-            return await call(AbortSignal.any([signal, timeoutController.signal]));
-        }
-        finally {
-            cancelTimer();
-        }
-    };
+    const callWithTimeout = <Result>(call: (callSignal: AbortSignal) => Promise<Result>): Promise<Result> =>
+        callWithTimeLimit(clock, CALL_TIMEOUT_MS, signal, call);
 
     const parseRow = ({ value }: TableRow): Rollout | undefined => {
         const row = rolloutRowSchema.safeParse(value);
--- a/packages/oleandergap-rollout/src/exchange/rolloutGossip.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutGossip.ts
@@ -4,7 +4,13 @@
  * roll-out is under way or has ended recently.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
-import { createPeerBootstrap, createTokenBucket, pickSeveral, type Random } from "oleandergap-utils";
+import {
+    createPeerBootstrap,
+    createTokenBucket,
+    pickSeveral,
+    type GossipNetwork,
+    type Random,
+} from "oleandergap-utils";
 import { isFinal, type Rollout } from "../rollout.js";
 import {
     decodeRollout,
@@ -28,16 +34,7 @@
 const ANSWERS_PER_SECOND = 10;
 
 /** The nodes that can be reached, and how to send to them. */
-export interface RolloutNetwork<Peer> {
-    /** Members of this node's availability zone, without this node. */
-    readonly members: () => readonly Peer[];
-    /** Some nodes of each other availability zone. */
-    readonly contacts: () => readonly Peer[];
-    /** Returns whether this node is the first of its zone, in an order that all members of the zone share. */
-    readonly isFirstInZone: () => boolean;
-    /** Sends a message without guaranteed delivery. */
-    readonly send: (to: Peer, message: RolloutMessage) => void;
-}
+export type RolloutNetwork<Peer> = GossipNetwork<Peer, RolloutMessage>;
 
 /** Dependencies of the gossip. */
 export interface RolloutGossipDependencies<Peer> {
--- a/packages/oleandergap-rollout/src/exchange/rolloutMessage.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutMessage.ts
@@ -3,12 +3,13 @@
  * clocks differ.
  */
 import type { Milliseconds } from "oleandergap-types";
+import { splitIntoChunks } from "oleandergap-utils";
 import { z } from "zod";
 import { targetReportSchema, type TargetReport } from "../judge/tally.js";
 import { rolloutOrderSchema, rolloutStateSchema, type Rollout } from "../rollout.js";
 
 /** Maximum number of roll-outs in one datagram. */
-export const MAX_ROLLOUTS_PER_MESSAGE = 4;
+const MAX_ROLLOUTS_PER_MESSAGE = 4;
 /** Maximum number of reports in one datagram. */
 const MAX_REPORTS_PER_MESSAGE = 12;
 /** Maximum size of the reports in one datagram, in parts; see {@link getReportSize}. Compressed, they fit into it. */
@@ -63,9 +64,6 @@
     now: Milliseconds,
 ): Rollout => ({ order, orderedAt: now - ageMs, state, since: now - stateAgeMs, reason });
 
-const splitIntoChunks = <Item>(items: readonly Item[], size: number): readonly Item[][] =>
-    Array.from({ length: Math.ceil(items.length / size) }, (_, index) => items.slice(index * size, (index + 1) * size));
-
 /** Returns the messages that contain `rollouts`. */
 export const encodeRollouts = (rollouts: readonly Rollout[], now: Milliseconds): readonly RolloutMessage[] =>
     splitIntoChunks(rollouts, MAX_ROLLOUTS_PER_MESSAGE)
--- a/packages/oleandergap-utils/src/timeLimit.ts
+++ b/packages/oleandergap-utils/src/timeLimit.ts
@@ -90,3 +90,19 @@
             signal.removeEventListener("abort", handleAbort);
         });
     });
+
+/** Returns the result of `call`, whose signal aborts after `limit` milliseconds or when `outer` aborts. */
+export const callWithTimeLimit = async <Result>(
+    clock: Clock,
+    limit: Milliseconds,
+    outer: AbortSignal,
+    call: (signal: AbortSignal) => Promise<Result>,
+): Promise<Result> => {
+    const timeLimit = startTimeLimit(clock, limit, outer);
+    try {
+        return await call(timeLimit.signal);
+    }
+    finally {
+        timeLimit.cancel();
+    }
+};
