Demo: the check waits until the crashed targets are announced before it drains one

Cause: the check's containment step lets targets crash for half a second and ended as soon as all nodes refused the request. The drain step then asked for a target that was down or not announced yet: "no target is known at node hall-a-2", and demo fleet.test.ts "completes all steps with real processes" failed in the same way.

Change: the containment step ends when every node of the service lists all its targets.

--- a/packages/oleandergap-demo/src/check/checkContainment.ts
+++ b/packages/oleandergap-demo/src/check/checkContainment.ts
@@ -2,13 +2,16 @@
  * Step of the check: a request that crashes each target that runs it is sent repeatedly. After its third crash all
  * nodes refuse the request, and the service remains available.
  */
+import * as either from "fp-ts/lib/Either.js";
 import type { CallRequest } from "oleandergap-standins";
 import type { Milliseconds, NodeId, ServiceReference } from "oleandergap-types";
+import { waitForValue } from "../fleet/waitFor.js";
 import { listServedServices, type CheckContext } from "./checkContext.js";
 
 const CRASH_PATH = "/check/crash";
 /** Short, so that all targets are running again in the next step. */
 const TARGET_RESTART_DELAY_MS: Milliseconds = 500;
+const ANNOUNCEMENT_TIMEOUT_MS: Milliseconds = 30_000;
 const SEND_INTERVAL_MS: Milliseconds = 50;
 const REQUEST_TIMEOUT_MS: Milliseconds = 2000;
 /** Maximum number of sends. Three are enough unless a send reaches a target that has not restarted yet. */
@@ -46,7 +49,25 @@
     throw new Error(`not all nodes refuse a request that crashes its targets after ${MAX_SENDS} sends`);
 };
 
-/** Runs the step. Rejects unless all nodes finally refuse the request. */
+/** Waits until the nodes have received the announcements of all targets again. The next steps send requests to them. */
+const waitUntilAnnounced = async (
+    { fleet, signal }: CheckContext,
+    { partner }: ServiceReference,
+    targets: readonly NodeId[],
+): Promise<void> => {
+    await waitForValue({
+        description: "the crashed targets are announced again",
+        timeoutMs: ANNOUNCEMENT_TIMEOUT_MS,
+        signal,
+    }, async () => {
+        const views = await Promise.all(targets.map((id) => fleet.operatorClient(partner, id).listTargets()()));
+        const isAnnounced = views.every((view) => either.isRight(view) &&
+            targets.every((id) => view.right.targets.some(({ nodeId }) => nodeId === id)));
+        return isAnnounced ? true : undefined;
+    });
+};
+
+/** Runs the step. Rejects unless all nodes finally refuse the request and the targets are announced again. */
 export const checkContainment = async (context: CheckContext): Promise<void> => {
     const { fleet, report } = context;
     const [servedService] = listServedServices(fleet);
@@ -64,4 +85,5 @@
     finally {
         await Promise.all(targets.map((id) => fleet.targets.setFaults(id, {})));
     }
+    await waitUntilAnnounced(context, servedService.reference, targets);
 };
