Targets: what a target states in its responses is read and logged, and its requests are counted

Cause: in the incident of targets that name a request limit, no line or metric holds the limit, nor the requests that a target gets while none fails; the hypotheses (not read, kept per node, exceeded by repeats) cannot be told apart. No decision depends on them.

--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -59,6 +59,10 @@
     /** Applies a new limit and number of slots. Running and waiting requests are kept. */
     readonly setLimit: (limit: Limit, slots: number) => void;
     readonly load: () => GateLoad;
+    /** Returns the number of requests sent to the target in the last `periodMs`, at most `MAX_METER_PERIOD_MS`. */
+    readonly countRecentRequests: (periodMs: Milliseconds) => number;
+    /** Records that a request that holds a slot was sent to the target once more, over another connection. */
+    readonly recordResend: () => void;
     /**
      * Refuses new requests from now on, while running and waiting requests finish. Resolves when no request is left.
      * Further calls return the same promise.
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -9,6 +9,8 @@
 import { createOfferedLoad } from "./offeredLoad.js";
 import { createRankedQueue, getRequestTimes } from "./rankedQueue.js";
 import { createRefusals, type Decision, type Refusals } from "./refusals.js";
+import { createRequestMeter } from "./requestMeter.js";
+import { createRequestStarter } from "./requestStarter.js";
 import { createSlots } from "./slots.js";
 import { createEnqueue, type WaitingRequest } from "./waitingRequests.js";
 
@@ -61,7 +63,10 @@
         startWaitingRequests();
         drain.resolveIfEmpty();
     };
-    const slots = createSlots({ clock, queue, forecast, capacity: () => capacity, onSlotReleased });
+    const meter = createRequestMeter(clock);
+    const slots = createSlots({
+        clock, queue, forecast, capacity: () => capacity, onSlotAcquired: meter.record, onSlotReleased,
+    });
 
     const getState = (): GateState => ({ running: slots.running(), capacity, queued: queue.size() });
 
@@ -73,20 +78,7 @@
 
     const drain = createDrain(() => slots.running() === 0 && queue.size() === 0);
 
-    const startRequest = (waitingRequest: WaitingRequest): void => {
-        const now = clock.monotonic();
-        const isInTime = now + forecast.serviceTime(waitingRequest.kind) <= waitingRequest.objective;
-        if (!isInTime && !rankedQueue.isLate(waitingRequest.flow) && queue.size() > 0) {
-            rankedQueue.demote(waitingRequest, now);
-            return;
-        }
-        if (now + forecast.serviceTime(waitingRequest.kind) <= waitingRequest.deadline) {
-            waitingRequest.settle(slots.acquire(waitingRequest.flow, waitingRequest.kind, waitingRequest.queuedAt));
-            return;
-        }
-        queue.deleteIfIdle(waitingRequest.flow);
-        waitingRequest.settle(refusals.forCapacity("DeadlinePassed"));
-    };
+    const startRequest = createRequestStarter({ clock, queue, forecast, rankedQueue, slots, refusals });
 
     const refuseAllWaiting = (reason: "Draining" | "NotReady"): void => {
         for (let waitingRequest = queue.dequeue(0); waitingRequest !== undefined; waitingRequest = queue.dequeue(0)) {
@@ -179,6 +171,8 @@
             capacity,
             expectedWaitMs: forecast.expectedWait(getState(), queue.size(), clock.monotonic()),
         }),
+        countRecentRequests: meter.countRecent,
+        recordResend: meter.record,
         drain: drain.start,
         refuseWaiting: () => refuseAllWaiting("Draining"),
     };
--- a/packages/oleandergap-gate/src/slots.ts
+++ b/packages/oleandergap-gate/src/slots.ts
@@ -22,12 +22,15 @@
     readonly forecast: Forecast;
     /** Number of slots that may be in use at the same time. May change while the gate runs. */
     readonly capacity: () => number;
+    /** Runs when a slot is acquired, just before its request is sent to the target. */
+    readonly onSlotAcquired: () => void;
     /** Runs after a slot was released. */
     readonly onSlotReleased: () => void;
 }
 
 /** Creates the slots of a gate; all of them are free. */
-export const createSlots = ({ clock, queue, forecast, capacity, onSlotReleased }: SlotsDependencies): Slots => {
+export const createSlots = (dependencies: SlotsDependencies): Slots => {
+    const { clock, queue, forecast, capacity, onSlotAcquired, onSlotReleased } = dependencies;
     let running = 0;
 
     const isFull = (): boolean => running >= capacity();
@@ -50,6 +53,7 @@
         const startedAt = clock.monotonic();
         let isReleased = false;
         running += 1;
+        onSlotAcquired();
         forecast.recordProgress(startedAt);
         queue.markStarted(flow);
         const release = (outcome: ReleaseOutcome): void => {
--- a/packages/oleandergap-node/src/admin/gauges.ts
+++ b/packages/oleandergap-node/src/admin/gauges.ts
@@ -7,6 +7,8 @@
 import type { GaugeReading, NodeMetrics } from "./metrics.js";
 import type { ReadinessState } from "./readiness.js";
 
+const RATE_PERIOD_MS = 1000;
+
 export interface GaugeSources {
     readonly controlPlane: ControlPlane;
     readonly requestPath: RequestPath;
@@ -87,6 +89,8 @@
     addGauge("platform", "Calls to the platform.", ["service", "figure"], () => readPlatformCalls(sources));
     addGauge("gate", "Load of the gate.", ["figure"], () =>
         readNumbers("figure", requestPath.target.current()?.gate.load() ?? {}));
+    addGauge("target_requests_per_second", "Requests sent to the local target in the last second.", [], () =>
+        createSingleReading(requestPath.target.current()?.gate.countRecentRequests(RATE_PERIOD_MS) ?? 0));
     addGauge("claims", "Counts of the claims.", ["figure"], () => readNumbers("figure", requestPath.claims.stats()));
     addGauge("owned_keys", "Counts of the key ownership.", ["figure"], () =>
         readNumbers("figure", requestPath.claims.ownership?.stats() ?? {}));
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -3,7 +3,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Admission, ReleaseOutcome } from "oleandergap-gate";
 import type { ClaimManager } from "oleandergap-idempotency";
-import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
+import type { Clock, Milliseconds, RequestFailure, TargetFeedback } from "oleandergap-types";
 import { discardBody, observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { TargetDialect, TargetRequest } from "../http/dialect.js";
@@ -19,6 +19,8 @@
 export interface ServeAtGateDependencies {
     readonly clock: Clock;
     readonly currentTarget: () => LocalTarget | undefined;
+    /** Records what a response of a target states about the target. */
+    readonly recordFeedback: (target: LocalTarget, feedback: TargetFeedback) => void;
     readonly pools: ConnectionPools;
     readonly claims: Pick<ClaimManager, "claim">;
     readonly dialect: TargetDialect;
@@ -115,6 +117,7 @@
             instanceId,
         });
         const startedAt = clock.monotonic();
+        let sends = 0;
         const inactivityTimeoutMs = request.idempotent ? computeInactivityTimeout(request) : undefined;
         const monitored = await sendMonitored(clock, {
             method: request.method,
@@ -132,6 +135,10 @@
             replaceConnections: () => pools.replaceConnections(address, port),
             nextRequestId: () => {
                 attemptCount++;
+                sends++;
+                if (sends > 1) {
+                    target.gate.recordResend();
+                }
                 return `${request.requestId}.${attemptCount}`;
             },
             readFailure: ({ statusCode, headers }) => dialect.readRefusal(statusCode, headers),
@@ -147,6 +154,7 @@
         const outcome = await (monitored.open?.outcome ?? monitored.outcome);
         if (either.isRight(outcome)) {
             latencyMeter.add(clock.monotonic() - startedAt);
+            dependencies.recordFeedback(target, dialect.readFeedback(outcome.right.headers));
         }
         return convertRefusal(dialect, outcome);
     };
--- a/packages/oleandergap-node/src/http/dialect.ts
+++ b/packages/oleandergap-node/src/http/dialect.ts
@@ -7,8 +7,11 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import {
     IDEMPOTENCY_KEY_HEADER,
+    parseRequestLimit,
     REQUEST_ID_HEADER,
     RETRY_HEADER,
+    TARGET_LEAVING_HEADER,
+    TARGET_LIMIT_HEADER,
     TIMEOUT_HEADER,
     VERDICT_HEADER,
     VERSION_HEADER,
@@ -16,9 +19,10 @@
     type Milliseconds,
     type RequestFailure,
     type ServiceReference,
+    type TargetFeedback,
     type Verdict,
 } from "oleandergap-types";
-import type { ResponseHeaders } from "./upstreamResponse.js";
+import { readResponseHeader, type ResponseHeaders } from "./upstreamResponse.js";
 import { readRequestHeader } from "./headers.js";
 import { describeFailure, readTargetRefusal, type FailureResponse, type FailureContext } from "./refusal.js";
 import { parseTimeout } from "./timeoutHeader.js";
@@ -76,6 +80,8 @@
     readonly expectResponseId: (request: TargetRequest) => string | undefined;
     /** Returns the refusal that a response represents; undefined when the target ran the request. */
     readonly readRefusal: (statusCode: number, headers: ResponseHeaders) => RequestFailure | undefined;
+    /** Returns what the target states about itself in a response, including a refusal. */
+    readonly readFeedback: (headers: ResponseHeaders) => TargetFeedback;
 }
 
 /** Dialects of both sides of a node. */
@@ -111,6 +117,10 @@
     responseIdHeader: REQUEST_ID_HEADER,
     expectResponseId: ({ attemptId }) => attemptId,
     readRefusal: (_statusCode, headers) => readTargetRefusal(headers),
+    readFeedback: (headers) => ({
+        requestLimit: parseRequestLimit(readResponseHeader(headers, TARGET_LIMIT_HEADER)),
+        isLeaving: readResponseHeader(headers, TARGET_LEAVING_HEADER) === "yes",
+    }),
 };
 
 /** Dialects that use the headers described in docs/REQUESTS.md. */
--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -14,7 +14,9 @@
     MemberTarget,
     Milliseconds,
     ServiceReference,
+    TargetFeedback,
 } from "oleandergap-types";
+import { createFeedbackLog, type LogFeedback } from "./feedbackLog.js";
 import { createHeartbeatTimer } from "./heartbeatTimer.js";
 import { createLifetimes } from "./lifetimes.js";
 
@@ -27,6 +29,7 @@
     readonly leaving: boolean;
     /** Gate of the previous target, if that target disappeared without leaving; undefined otherwise. */
     readonly predecessorGate: Gate | undefined;
+    readonly logFeedback: LogFeedback;
 }
 
 export interface LocalTargetManagerDependencies {
@@ -59,6 +62,8 @@
      * announcement adds the target again.
      */
     readonly removeTarget: (gate: Gate) => void;
+    /** Records what a response of `target` states about the target. */
+    readonly recordFeedback: (target: LocalTarget, feedback: TargetFeedback) => void;
     readonly current: () => LocalTarget | undefined;
     /** Applies the current limit from the table to the gate. */
     readonly refreshLimit: () => void;
@@ -118,6 +123,25 @@
     { coldLeftMs }: Announcement,
 ): Milliseconds => clock.now() - (coldLeftMs === undefined ? 0 : Math.max(0, slowStartMs - coldLeftMs));
 
+/** Creates a target with a gate that admits nothing until its limit is applied. */
+const createLocalTarget = (
+    dependencies: LocalTargetManagerDependencies,
+    announcement: Announcement,
+    predecessorGate: Gate | undefined,
+): LocalTarget => {
+    const { clock, logger } = dependencies;
+    const gate = dependencies.createGate(CLOSED_LIMIT, 0);
+    const { countRecentRequests } = gate;
+    return {
+        announcement,
+        gate,
+        since: estimateStartTime(dependencies, announcement),
+        leaving: false,
+        predecessorGate,
+        logFeedback: createFeedbackLog({ clock, logger, target: describeTarget(announcement), countRecentRequests }),
+    };
+};
+
 /**
  * Drains the gate. Running requests finish. Waiting requests may start only for a short time: the target may end soon
  * after it has announced that it leaves, and a request that it received just before its end would be lost. At a gate
@@ -180,9 +204,7 @@
     };
 
     const installTarget = (announcement: Announcement): void => {
-        const gate = dependencies.createGate(CLOSED_LIMIT, 0);
-        const since = estimateStartTime(dependencies, announcement);
-        target = { announcement, gate, since, leaving: false, predecessorGate: disappearedGate };
+        target = createLocalTarget(dependencies, announcement, disappearedGate);
         applyLimit(dependencies, target);
         publish();
         logger.info("A target was announced.", { ...describeTarget(announcement) });
@@ -248,6 +270,7 @@
         announce,
         withdraw,
         removeTarget: removeTargetOfGate,
+        recordFeedback: ({ logFeedback }, feedback) => logFeedback(feedback),
         drain,
         current: () => target,
         refreshLimit: () => {
--- a/packages/oleandergap-types/src/headers.ts
+++ b/packages/oleandergap-types/src/headers.ts
@@ -12,6 +12,10 @@
 export const RETRY_HEADER = "oleandergap-retry";
 /** Response from a gate: the load of the gate when it responded, see `GateLoad`. */
 export const LOAD_HEADER = "oleandergap-load";
+/** Response of a target: the requests per second that it accepts, see `TargetFeedback`. */
+export const TARGET_LIMIT_HEADER = "oleandergap-target-limit";
+/** Response of a target: `yes` if the target will stop soon, see `TargetFeedback`. */
+export const TARGET_LEAVING_HEADER = "oleandergap-target-leaving";
 /** Response: the table version that routed the request, as `partner:sequence`. */
 export const VERSION_HEADER = "oleandergap-version";
 /** Request between nodes: the requested service, as `partner/service`. */
--- a/packages/oleandergap-types/src/index.ts
+++ b/packages/oleandergap-types/src/index.ts
@@ -6,4 +6,5 @@
 export * from "./platform.js";
 export * from "./storePosition.js";
 export * from "./table.js";
+export * from "./targetFeedback.js";
 export * from "./verdict.js";
--- /dev/null
+++ b/packages/oleandergap-types/src/targetFeedback.ts
@@ -0,0 +1,25 @@
+/** What a target states about itself in its responses, in addition to its announcements. */
+import { z } from "zod";
+
+/** Upper bound of a request limit, in requests per second. Higher values count as no limit. */
+const MAX_REQUEST_LIMIT = 1_000_000;
+
+/** The statements of one response. */
+export const targetFeedbackSchema = z.strictObject({
+    /**
+     * Number of requests per second that the target accepts from all nodes together. A response without it states that
+     * the target has no such limit at present.
+     */
+    requestLimit: z.number().min(0).max(MAX_REQUEST_LIMIT).optional(),
+    /** Whether the target will stop soon. It then receives no new requests, whatever its announcements say. */
+    isLeaving: z.boolean(),
+});
+export type TargetFeedback = z.infer<typeof targetFeedbackSchema>;
+
+const DECIMAL_PATTERN = /^\d{1,7}(\.\d{1,9})?$/;
+
+/** Parses a request limit. Returns undefined for text that is no decimal number, or that is too large to be a limit. */
+export const parseRequestLimit = (text: string | undefined): number | undefined => {
+    const limit = text !== undefined && DECIMAL_PATTERN.test(text) ? Number(text) : undefined;
+    return limit !== undefined && limit <= MAX_REQUEST_LIMIT ? limit : undefined;
+};
