Gate: the requests to a target stay within the limit that the target names

Callers saw little; a target in need that named 34.5 requests a second received 271 in 4 s, with 212 allowed. Cause: nothing read what a target names in its responses. The gate admitted by announced slots alone, and gateways placed requests by slots that a limited target keeps free. Evidence: the rates of the limited targets in the record follow the service's load; and 160 requests in 4 s (53 allowed) at eight daemons. Change: every request to a target passes its gate, so the gate alone keeps the limit of all nodes together: a token bucket of the limit, with requests of the 2 s before the naming compensated over 3 s; the forecast, refusals and what the gate reports as its load follow from it. A limit ends with the response to a request sent after it was last named. Gateways let a reduced capacity expire, so that they find out that it is over; a refusal of a gate without room counts as want of capacity. The test failed before (160, 53 allowed).

--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -58,6 +58,11 @@
     readonly admit: (request: AdmissionRequest) => Promise<Either<RequestFailure, Admission>>;
     /** Applies a new limit and number of slots. Running and waiting requests are kept. */
     readonly setLimit: (limit: Limit, slots: number) => void;
+    /**
+     * Applies the request limit that the target names, in requests per second; undefined if it names none. Requests
+     * beyond it wait or are refused, whatever slots are free.
+     */
+    readonly setRequestLimit: (requestsPerSecond: number | undefined) => void;
     readonly load: () => GateLoad;
     /** Returns the number of requests sent to the target in the last `periodMs`, at most `MAX_METER_PERIOD_MS`. */
     readonly countRecentRequests: (periodMs: Milliseconds) => number;
--- a/packages/oleandergap-gate/src/forecast.ts
+++ b/packages/oleandergap-gate/src/forecast.ts
@@ -16,6 +16,10 @@
     readonly running: number;
     readonly capacity: number;
     readonly queued: number;
+    /** Mean interval between two requests that the target's request limit allows; 0 without a limit. */
+    readonly startInterval: Milliseconds;
+    /** Time until that limit allows the next request; 0 if it allows one now. */
+    readonly startDelay: Milliseconds;
 }
 
 /** Estimates from the recent behaviour of the target. All points in time are on the monotonic clock. */
@@ -35,8 +39,12 @@
      * Returns the mean time for which a request of a kind occupies a slot, or an assumed time without enough samples.
      */
     readonly holdingTime: (kind: string) => Milliseconds;
-    /** Returns the mean time between two requests that the gate completes. */
+    /** Returns the number of slots that can be in use on average, as far as a request limit allows. */
+    readonly usableSlots: (state: GateState) => number;
+    /** Returns the mean time between two requests that the slots complete. */
     readonly serviceInterval: (state: GateState) => Milliseconds;
+    /** Returns the time in which the present queue is served. */
+    readonly queueTime: (state: GateState) => Milliseconds;
     /** Returns the expected queueing time of a new request with `requestsAhead` requests before it. */
     readonly expectedWait: (state: GateState, requestsAhead: number, now: Milliseconds) => Milliseconds;
     /**
@@ -55,10 +63,16 @@
     /** Time at which a slot was last acquired or released. */
     let lastProgressAt = startedAt;
 
+    const getMeanServiceTime = (): Milliseconds => overallEstimator.mean() ?? options.assumedServiceTimeMs;
+
+    /** By Little's law, a limited rate and the mean service time determine the mean number of running requests. */
+    const getUsableSlots = ({ capacity, startInterval }: GateState): number =>
+        startInterval === 0 ? capacity : Math.min(capacity, getMeanServiceTime() / startInterval);
+
     const getServiceInterval = ({ capacity }: GateState): Milliseconds =>
-        (overallEstimator.mean() ?? options.assumedServiceTimeMs) / Math.max(1, capacity);
+        getMeanServiceTime() / Math.max(1, capacity);
 
-    const getExpectedWait = (
+    const getWaitForSlot = (
         { running, capacity }: GateState,
         requestsAhead: number,
         now: Milliseconds,
@@ -74,6 +88,9 @@
         return stalledFor > STALL_FACTOR * meanServiceTime ? Math.max(queueTime, stalledFor) : queueTime;
     };
 
+    const getWaitForLimit = ({ startDelay, startInterval }: GateState, requestsAhead: number): Milliseconds =>
+        startDelay === 0 ? 0 : startDelay + requestsAhead * startInterval;
+
     /**
      * Returns the estimator of a kind. With one estimate for all kinds, a target that also runs long requests would
      * refuse every short request with a short deadline, even while slots are free.
@@ -113,8 +130,12 @@
         serviceTimePercentile90: (kind) => estimatorsByKind.get(kind)?.percentile90() ?? 0,
         holdingTime: (kind) =>
             estimatorsByKind.get(kind)?.mean() ?? overallEstimator.mean() ?? options.assumedServiceTimeMs,
+        usableSlots: getUsableSlots,
         serviceInterval: getServiceInterval,
-        expectedWait: getExpectedWait,
+        queueTime: (state) =>
+            Math.max(state.queued * getServiceInterval(state), getWaitForLimit(state, state.queued)),
+        expectedWait: (state, requestsAhead, now) =>
+            Math.max(getWaitForSlot(state, requestsAhead, now), getWaitForLimit(state, requestsAhead)),
         scheduleRetry: (state, minimumDelay, now) =>
             retryAfterSchedule.schedule(now, minimumDelay, getServiceInterval(state)),
     };
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -1,15 +1,17 @@
 /** Admission control of one target: slots, a bounded queue, fair sharing and draining. */
 import type { Clock, Limit, Milliseconds } from "oleandergap-types";
 import { DEFAULT_KIND, type AdmissionRequest, type Gate } from "./admission.js";
+import { describeLoad } from "./describeLoad.js";
 import { createDrain } from "./drain.js";
-import { createFairQueue, type Flow } from "./fairQueue.js";
+import { createFairQueue } from "./fairQueue.js";
 import { createForecast, type GateState } from "./forecast.js";
 import { defaultGateOptions, type GateOptions } from "./options.js";
 import { createLateRequests } from "./lateRequests.js";
 import { createOfferedLoad } from "./offeredLoad.js";
+import { createMakeRoom } from "./queueRoom.js";
 import { createRankedQueue, getRequestTimes } from "./rankedQueue.js";
 import { createRefusals, type Decision, type Refusals } from "./refusals.js";
-import { createRequestMeter } from "./requestMeter.js";
+import { createRequestRate } from "./requestRate.js";
 import { createRequestStarter } from "./requestStarter.js";
 import { createSlots } from "./slots.js";
 import { createEnqueue, type WaitingRequest } from "./waitingRequests.js";
@@ -63,13 +65,17 @@
         startWaitingRequests();
         drain.resolveIfEmpty();
     };
-    const meter = createRequestMeter(clock);
-    const slots = createSlots({
-        clock, queue, forecast, capacity: () => capacity, onSlotAcquired: meter.record, onSlotReleased,
+    const requestRate = createRequestRate(clock);
+    const slots = createSlots({ clock, queue, forecast, requestRate, capacity: () => capacity, onSlotReleased });
+
+    const getState = (): GateState => ({
+        running: slots.running(),
+        capacity,
+        queued: queue.size(),
+        startInterval: requestRate.interval(),
+        startDelay: requestRate.timeToNext(),
     });
 
-    const getState = (): GateState => ({ running: slots.running(), capacity, queued: queue.size() });
-
     const refusals = createRefusals({ clock, options, forecast, state: getState });
 
     const offeredLoad = createOfferedLoad();
@@ -89,13 +95,18 @@
     };
 
     const startWaitingRequests = (): void => {
-        while (!slots.isFull()) {
+        while (slots.canAcquire()) {
             const waitingRequest = queue.dequeue(clock.monotonic());
             if (waitingRequest === undefined) {
                 return;
             }
             startRequest(waitingRequest);
         }
+        // A slot that is free while the request limit allows no start will not be released, so a timer has to start
+        // the next request.
+        if (queue.size() > 0) {
+            requestRate.callWhenAllowed(startWaitingRequests);
+        }
     };
 
     const enqueue = createEnqueue({
@@ -106,20 +117,7 @@
         onRemoved: drain.resolveIfEmpty,
     });
 
-    /**
-     * Makes room in a full queue by evicting a request of a flow that is less urgent or occupies more of the queue.
-     * Returns a refusal if there is no such flow.
-     */
-    const makeRoom = (flow: Flow<WaitingRequest>): Decision | undefined => {
-        if (queue.size() < queueLimit) {
-            return undefined;
-        }
-        const evicted = queue.evictFor(flow);
-        evicted?.settle(refusals.forCapacity("FairShareExceeded"));
-        return evicted === undefined ?
-            refusals.forCapacity(queueLimit === 0 ? "LimitReached" : "QueueFull") :
-            undefined;
-    };
+    const makeRoom = createMakeRoom({ queue, refusals, queueLimit: () => queueLimit });
 
     const decide = (request: AdmissionRequest): Decision | Promise<Decision> => {
         const now = clock.monotonic();
@@ -132,10 +130,14 @@
             serviceTime: forecast.holdingTime(request.kind ?? DEFAULT_KIND),
         }, now);
         rankedQueue.refuseUnservable(now);
+        if (queue.size() > 0) {
+            // With a request limit, time alone can make room. Waiting requests start before this one.
+            startWaitingRequests();
+        }
         const timelyFlow = rankedQueue.getOrCreateFlow(request, false);
         const requestsAhead = queue.countRequestsAhead(timelyFlow, getRequestTimes(request));
         const refusalForDeadline = refusals.forDeadline(request, requestsAhead);
-        if (refusalForDeadline === undefined && !slots.isFull()) {
+        if (refusalForDeadline === undefined && slots.canAcquire()) {
             return slots.acquire(timelyFlow, request.kind ?? DEFAULT_KIND, now);
         }
         const isLate = lateRequests.isLate(request, requestsAhead, now);
@@ -146,7 +148,9 @@
         const refusalForLateness = isLate ? rankedQueue.refuseLate(request, flow, now) : undefined;
         const refusal = refusalForDeadline ?? refusalForLateness ?? makeRoom(flow);
         if (refusal === undefined) {
-            return enqueue(request, flow);
+            const decision = enqueue(request, flow);
+            requestRate.callWhenAllowed(startWaitingRequests);
+            return decision;
         }
         queue.deleteIfIdle(flow);
         return refusal;
@@ -165,14 +169,13 @@
     return {
         admit: async (request) => decide(request),
         setLimit,
-        load: () => ({
-            inFlight: slots.running(),
-            queued: queue.size(),
-            capacity,
-            expectedWaitMs: forecast.expectedWait(getState(), queue.size(), clock.monotonic()),
-        }),
-        countRecentRequests: meter.countRecent,
-        recordResend: meter.record,
+        setRequestLimit: (requestsPerSecond) => {
+            requestRate.setLimit(requestsPerSecond);
+            startWaitingRequests();
+        },
+        load: () => describeLoad(getState(), forecast, clock.monotonic()),
+        countRecentRequests: requestRate.countRecent,
+        recordResend: requestRate.recordRequest,
         drain: drain.start,
         refuseWaiting: () => refuseAllWaiting("Draining"),
     };
--- a/packages/oleandergap-gate/src/lateRequests.ts
+++ b/packages/oleandergap-gate/src/lateRequests.ts
@@ -56,7 +56,7 @@
         deadlineOverrun: (timing, requestsAhead, now) => {
             const gateState = state();
             const wait = forecast.expectedWait(gateState, requestsAhead, now);
-            const spareShare = 1 - offeredLoad.utilisation(timing.priority ?? 0, gateState.capacity, now);
+            const spareShare = 1 - offeredLoad.utilisation(timing.priority ?? 0, forecast.usableSlots(gateState), now);
             const timeToStart = spareShare < MINIMUM_SPARE_SHARE ? wait / MINIMUM_SPARE_SHARE : wait / spareShare;
             return now + timeToStart + getServiceTime(timing) - timing.deadline;
         },
--- a/packages/oleandergap-gate/src/offeredLoad.ts
+++ b/packages/oleandergap-gate/src/offeredLoad.ts
@@ -20,8 +20,9 @@
 export interface OfferedLoad {
     readonly recordArrival: (request: OfferedRequest, now: Milliseconds) => void;
     /**
-     * Returns the arriving work of this and more urgent priorities as a share of the target's capacity; above 1, their
-     * queue grows without bound. Less urgent requests are excluded: they start later and do not delay these requests.
+     * Returns the arriving work of this and more urgent priorities as a share of the target's capacity, a number of
+     * slots that may be a fraction; above 1, their queue grows without bound. Less urgent requests are excluded: they
+     * start later and do not delay these requests.
      */
     readonly utilisation: (priority: number, capacity: number, now: Milliseconds) => number;
 }
@@ -62,7 +63,7 @@
                     amountMs += remainingMs;
                 }
             }
-            return amountMs / (DECAY_TIME_MS * Math.max(1, capacity));
+            return amountMs / (DECAY_TIME_MS * (capacity > 0 ? capacity : 1));
         },
     };
 };
--- a/packages/oleandergap-gate/src/refusals.ts
+++ b/packages/oleandergap-gate/src/refusals.ts
@@ -44,8 +44,8 @@
 export const createRefusals = ({ clock, options, forecast, state }: RefusalsDependencies): Refusals => {
     const forCapacity: Refusals["forCapacity"] = (reason, minimumDelay) => {
         const gateState = state();
-        const queueTime = gateState.queued * forecast.serviceInterval(gateState);
-        return refuse(reason, forecast.scheduleRetry(gateState, minimumDelay ?? queueTime, clock.monotonic()));
+        const delay = minimumDelay ?? forecast.queueTime(gateState);
+        return refuse(reason, forecast.scheduleRetry(gateState, delay, clock.monotonic()));
     };
 
     return {
@@ -54,7 +54,7 @@
         forUnavailability: (reason) => refuse(reason, options.absentRetryAfterMs),
         forDeadline: (request, requestsAhead) => {
             const gateState = state();
-            if (gateState.running === 0) {
+            if (gateState.running === 0 && gateState.startDelay === 0) {
                 return undefined;
             }
             const now = clock.monotonic();
--- a/packages/oleandergap-gate/src/slots.ts
+++ b/packages/oleandergap-gate/src/slots.ts
@@ -5,12 +5,14 @@
 import type { FairQueue, Flow } from "./fairQueue.js";
 import type { Forecast } from "./forecast.js";
 import type { Decision } from "./refusals.js";
+import type { RequestRate } from "./requestRate.js";
 import type { WaitingRequest } from "./waitingRequests.js";
 
 /** The slots of one gate. */
 export interface Slots {
     readonly running: () => number;
-    readonly isFull: () => boolean;
+    /** Returns whether a slot is free and the request limit of the target allows a request. */
+    readonly canAcquire: () => boolean;
     /** Acquires a slot for a request of a kind that was queued at `queuedAt`. */
     readonly acquire: (flow: Flow<WaitingRequest>, kind: string, queuedAt: Milliseconds) => Decision;
 }
@@ -22,18 +24,17 @@
     readonly forecast: Forecast;
     /** Number of slots that may be in use at the same time. May change while the gate runs. */
     readonly capacity: () => number;
-    /** Runs when a slot is acquired, just before its request is sent to the target. */
-    readonly onSlotAcquired: () => void;
+    readonly requestRate: Pick<RequestRate, "timeToNext" | "recordRequest">;
     /** Runs after a slot was released. */
     readonly onSlotReleased: () => void;
 }
 
 /** Creates the slots of a gate; all of them are free. */
 export const createSlots = (dependencies: SlotsDependencies): Slots => {
-    const { clock, queue, forecast, capacity, onSlotAcquired, onSlotReleased } = dependencies;
+    const { clock, queue, forecast, capacity, requestRate, onSlotReleased } = dependencies;
     let running = 0;
 
-    const isFull = (): boolean => running >= capacity();
+    const canAcquire = (): boolean => running < capacity() && requestRate.timeToNext() === 0;
 
     const releaseSlot = (
         flow: Flow<WaitingRequest>,
@@ -53,7 +54,7 @@
         const startedAt = clock.monotonic();
         let isReleased = false;
         running += 1;
-        onSlotAcquired();
+        requestRate.recordRequest();
         forecast.recordProgress(startedAt);
         queue.markStarted(flow);
         const release = (outcome: ReleaseOutcome): void => {
@@ -65,5 +66,5 @@
         return either.right({ queuedMs: startedAt - queuedAt, release });
     };
 
-    return { running: () => running, isFull, acquire };
+    return { running: () => running, canAcquire, acquire };
 };
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -275,7 +275,6 @@
         clock,
         pools,
         currentTarget: targetManager.current,
-        recordFeedback: targetManager.recordFeedback,
         claims,
         dialect: defaultDialects.target,
         maxAnswerBytes: 1024,
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -110,7 +110,6 @@
         claims,
         dialect: dependencies.dialects.target,
         currentTarget: target.current,
-        recordFeedback: target.recordFeedback,
         maxAnswerBytes: claimOptions.maxAnswerBytes,
         minInactivityTimeoutMs: requests.targetSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -3,7 +3,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Admission, ReleaseOutcome } from "oleandergap-gate";
 import type { ClaimManager } from "oleandergap-idempotency";
-import type { Clock, Milliseconds, RequestFailure, TargetFeedback } from "oleandergap-types";
+import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
 import { discardBody, observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { TargetDialect, TargetRequest } from "../http/dialect.js";
@@ -19,8 +19,6 @@
 export interface ServeAtGateDependencies {
     readonly clock: Clock;
     readonly currentTarget: () => LocalTarget | undefined;
-    /** Records what a response of a target states about the target. */
-    readonly recordFeedback: (target: LocalTarget, feedback: TargetFeedback) => void;
     readonly pools: ConnectionPools;
     readonly claims: Pick<ClaimManager, "claim">;
     readonly dialect: TargetDialect;
@@ -154,7 +152,7 @@
         const outcome = await (monitored.open?.outcome ?? monitored.outcome);
         if (either.isRight(outcome)) {
             latencyMeter.add(clock.monotonic() - startedAt);
-            dependencies.recordFeedback(target, dialect.readFeedback(outcome.right.headers));
+            target.recordFeedback(dialect.readFeedback(outcome.right.headers), startedAt);
         }
         return convertRefusal(dialect, outcome);
     };
--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -14,9 +14,8 @@
     MemberTarget,
     Milliseconds,
     ServiceReference,
-    TargetFeedback,
 } from "oleandergap-types";
-import { createFeedbackLog, type LogFeedback } from "./feedbackLog.js";
+import { createFeedbackRecorder, type RecordFeedback } from "./feedbackRecorder.js";
 import { createHeartbeatTimer } from "./heartbeatTimer.js";
 import { createLifetimes } from "./lifetimes.js";
 
@@ -29,7 +28,8 @@
     readonly leaving: boolean;
     /** Gate of the previous target, if that target disappeared without leaving; undefined otherwise. */
     readonly predecessorGate: Gate | undefined;
-    readonly logFeedback: LogFeedback;
+    /** Records what a response of the target states about it. */
+    readonly recordFeedback: RecordFeedback;
 }
 
 export interface LocalTargetManagerDependencies {
@@ -62,8 +62,6 @@
      * announcement adds the target again.
      */
     readonly removeTarget: (gate: Gate) => void;
-    /** Records what a response of `target` states about the target. */
-    readonly recordFeedback: (target: LocalTarget, feedback: TargetFeedback) => void;
     readonly current: () => LocalTarget | undefined;
     /** Applies the current limit from the table to the gate. */
     readonly refreshLimit: () => void;
@@ -131,14 +129,13 @@
 ): LocalTarget => {
     const { clock, logger } = dependencies;
     const gate = dependencies.createGate(CLOSED_LIMIT, 0);
-    const { countRecentRequests } = gate;
     return {
         announcement,
         gate,
         since: estimateStartTime(dependencies, announcement),
         leaving: false,
         predecessorGate,
-        logFeedback: createFeedbackLog({ clock, logger, target: describeTarget(announcement), countRecentRequests }),
+        recordFeedback: createFeedbackRecorder({ clock, logger, target: describeTarget(announcement), gate }),
     };
 };
 
@@ -270,7 +267,6 @@
         announce,
         withdraw,
         removeTarget: removeTargetOfGate,
-        recordFeedback: ({ logFeedback }, feedback) => logFeedback(feedback),
         drain,
         current: () => target,
         refreshLimit: () => {
--- a/packages/oleandergap-routing/src/recordOutcome.ts
+++ b/packages/oleandergap-routing/src/recordOutcome.ts
@@ -63,10 +63,11 @@
     reason === "FairShareExceeded" || reason === "DeadlinePassed" || reason === "TargetBusy";
 
 /**
- * Returns whether the gate reported free slots. A gate refuses a deadline shorter than the service time even with free
- * slots; such a refusal does not indicate a lack of capacity.
+ * Returns whether the gate reported free slots that a request may use at once. A gate refuses a deadline shorter than
+ * the service time even with free slots; such a refusal does not indicate a lack of capacity.
  */
-const hasFreeSlots = (load: GateLoad | undefined): boolean => load !== undefined && load.inFlight < load.capacity;
+const hasFreeSlots = (load: GateLoad | undefined): boolean =>
+    load !== undefined && load.inFlight < load.capacity && load.expectedWaitMs === 0;
 
 /** Returns whether a refusal indicates that the node has no usable target. */
 const isMissingTargetRefusal = (reason: RefusalReason): boolean =>
--- a/packages/oleandergap-routing/src/targetState.ts
+++ b/packages/oleandergap-routing/src/targetState.ts
@@ -21,6 +21,11 @@
 const MAXIMUM_SLOWNESS = 8;
 /** Age at which a latency measurement no longer affects the score of the target. */
 const LATENCY_LIFETIME_MS = 10_000;
+/**
+ * Age at which a reported capacity no longer affects the score of the target. It is long compared with a load report,
+ * because a capacity changes rarely, and each request that tries a reduced target may be refused.
+ */
+const CAPACITY_LIFETIME_MS = 10_000;
 /** Weight of the newest request in the refused share: about the last twenty requests count. */
 const REFUSED_SHARE_WEIGHT = 0.05;
 /** Lower bound of the accepted share. However many requests a target refuses, its load is multiplied by ten at most. */
@@ -50,7 +55,7 @@
     /** Number of requests from other nodes at the target when its gate last reported its load. */
     otherNodesInFlight: number;
     loadReportedAt: Milliseconds;
-    /** Number of requests that the target runs concurrently, as announced or last reported. */
+    /** Number of requests that the target runs concurrently, as announced or last reported at `loadReportedAt`. */
     capacity: number;
     /** Exponential moving average; 0 while no latency was measured. */
     latencyMs: Milliseconds;
@@ -231,6 +236,18 @@
     return Math.min(MAXIMUM_SLOWNESS, Math.max(1, relativeDelay / NORMAL_LATENCY_VARIATION));
 };
 
+/**
+ * Returns the capacity of a target. A report that becomes outdated loses its weight, so that a target whose capacity
+ * was reduced for some time receives the requests that show its present capacity.
+ */
+const computeCapacity = <Target extends RoutableTarget>(
+    { capacity, loadReportedAt, target: { slots } }: TargetState<Target>,
+    now: Milliseconds,
+): number => {
+    const freshness = Math.max(0, 1 - (now - loadReportedAt) / CAPACITY_LIFETIME_MS);
+    return Math.max(1, capacity < slots ? slots + (capacity - slots) * freshness : capacity);
+};
+
 /**
  * Returns the expected load per slot if the target received one more request. Of two candidates, the one with the lower
  * score is chosen. The reported load from other nodes decays with the age of the report, because a report is outdated
@@ -257,5 +274,5 @@
     // would keep using the only target of a zone, however many requests it refuses.
     const acceptedShare =
         Math.max(MINIMUM_ACCEPTED_SHARE, 1 - state.refusedShare * computeFreshness(state.refusedShareUpdatedAt));
-    return load * computeSlowness(state, context) / Math.max(1, state.capacity) / acceptedShare;
+    return load * computeSlowness(state, context) / computeCapacity(state, now) / acceptedShare;
 };
--- a/packages/oleandergap-utils/src/tokenBucket.ts
+++ b/packages/oleandergap-utils/src/tokenBucket.ts
@@ -9,8 +9,11 @@
      * can follow the size of the fleet.
      */
     readonly ratePerSecond: () => number;
-    /** Maximum number of tokens in the bucket. The bucket starts full. */
-    readonly burst: number;
+    /**
+     * Maximum number of tokens in the bucket, or a function that returns it and is called at each use. The bucket
+     * starts full.
+     */
+    readonly burst: number | (() => number);
 }
 
 /** A token bucket for callers that take several tokens at once, or that check several buckets before taking tokens. */
@@ -34,13 +37,14 @@
 
 /** Creates a full token bucket with separate functions for checking and for taking tokens. */
 export const createBulkTokenBucket = ({ clock, ratePerSecond, burst }: TokenBucketOptions): BulkTokenBucket => {
-    let tokens = burst;
+    const getBurst = typeof burst === "function" ? burst : () => burst;
+    let tokens = getBurst();
     let refilledAt = clock.monotonic();
 
     const refill = (): void => {
         const now = clock.monotonic();
         const addedTokens = ((now - refilledAt) / MILLISECONDS_PER_SECOND) * ratePerSecond();
-        tokens = Math.min(burst, tokens + addedTokens);
+        tokens = Math.min(getBurst(), tokens + addedTokens);
         refilledAt = now;
     };
 
