Targets: a departure stated in a response closes the gate, whatever the heartbeats say

Change: such a response starts the drain as an announcement would; the lifetime of the target keeps the mark, so that a target that comes back after missing heartbeats stays closed until it has a new lifetime.

--- a/packages/oleandergap-node/src/__tests__/feedbackRecorder.test.ts
+++ b/packages/oleandergap-node/src/__tests__/feedbackRecorder.test.ts
@@ -12,6 +12,7 @@
             logger: createLogger("test"),
             target: {},
             gate: { setRequestLimit: (limit) => limits.push(limit), countRecentRequests: () => 0 },
+            onLeaving: () => undefined,
         });
         const earlierSentAt = clock.monotonic();
         await clock.advance(100);
--- a/packages/oleandergap-node/src/__tests__/localTargetManager.test.ts
+++ b/packages/oleandergap-node/src/__tests__/localTargetManager.test.ts
@@ -50,6 +50,37 @@
         signal: new AbortController().signal,
     }).then((admission) => admission._tag);
 
+describe("createLocalTargetManager, for a target that states its departure in a response only", () => {
+    const announcement = createAnnouncement(TARGET_PORT, { instanceId: "i-1", bornAt: 5 });
+    const stateDeparture = ({ targetManager, clock }: Setup): void =>
+        targetManager.current()?.recordFeedback({ isLeaving: true }, clock.monotonic());
+
+    it("refuses new requests and publishes that the target is leaving, although heartbeats say it is not", async () => {
+        const setup = setUp();
+        const { clock, targetManager, published } = setup;
+        targetManager.announce(announcement);
+        stateDeparture(setup);
+        targetManager.announce(announcement);
+
+        expect(await admitRequest(targetManager, clock)).to.equal("Left");
+        expect(published.at(-1)).to.include({ leaving: true });
+    });
+
+    it("stays closed when the target comes back after its heartbeats were missing, until a new lifetime starts", async () => {
+        const setup = setUp();
+        const { clock, targetManager } = setup;
+        targetManager.announce(announcement);
+        stateDeparture(setup);
+        await clock.advance(HEARTBEAT_TIMEOUT_MS);
+        expect(targetManager.current()).to.equal(undefined);
+        targetManager.announce(announcement);
+        expect(await admitRequest(targetManager, clock)).to.equal("Left");
+
+        targetManager.announce({ ...announcement, bornAt: 6 });
+        expect(await admitRequest(targetManager, clock)).to.equal("Right");
+    });
+});
+
 describe("createLocalTargetManager", () => {
     it("publishes a target once and keeps it while it sends heartbeats", async () => {
         const { clock, targetManager, published } = setUp();
--- a/packages/oleandergap-node/src/target/feedbackRecorder.ts
+++ b/packages/oleandergap-node/src/target/feedbackRecorder.ts
@@ -18,17 +18,18 @@
     /** Describes the target in log lines. */
     readonly target: LogContext;
     readonly gate: Pick<Gate, "setRequestLimit" | "countRecentRequests">;
+    /** Called when a response states that the target will stop soon. */
+    readonly onLeaving: () => void;
 }
 
 /** Creates the recorder of one target lifetime. */
 export const createFeedbackRecorder = (
-    { clock, logger, target, gate }: FeedbackRecorderDependencies,
+    { clock, logger, target, gate, onLeaving }: FeedbackRecorderDependencies,
 ): RecordFeedback => {
     const logFeedback = createFeedbackLog({ clock, logger, target, countRecentRequests: gate.countRecentRequests });
     let limitNamedAt = Number.NEGATIVE_INFINITY;
 
-    return (feedback, sentAt) => {
-        const { requestLimit } = feedback;
+    const recordLimit = ({ requestLimit }: TargetFeedback, sentAt: Milliseconds): void => {
         // Responses may arrive in another order than the target sent them. Only the response to a request that was sent
         // after the limit was last named shows that the limit no longer holds.
         if (requestLimit === undefined && sentAt <= limitNamedAt) {
@@ -37,7 +38,14 @@
         if (requestLimit !== undefined) {
             limitNamedAt = clock.monotonic();
         }
-        logFeedback(feedback);
         gate.setRequestLimit(requestLimit);
     };
+
+    return (feedback, sentAt) => {
+        logFeedback(feedback);
+        recordLimit(feedback, sentAt);
+        if (feedback.isLeaving) {
+            onLeaving();
+        }
+    };
 };
--- a/packages/oleandergap-node/src/target/lifetimes.ts
+++ b/packages/oleandergap-node/src/target/lifetimes.ts
@@ -12,9 +12,14 @@
     bornAt: Milliseconds | undefined;
     lastSequence: number;
     isEnded: boolean;
+    isLeaving: boolean;
 }
 
-const startLifetime = (bornAt: Milliseconds | undefined): Lifetime => ({ bornAt, lastSequence: -1, isEnded: false });
+const startLifetime = (bornAt: Milliseconds | undefined): Lifetime =>
+    ({ bornAt, lastSequence: -1, isEnded: false, isLeaving: false });
+
+/** Identifies a lifetime. */
+export type LifetimeReference = Pick<Announcement, "instanceId" | "bornAt">;
 
 /** The known lifetimes of the targets on a VM. */
 export interface Lifetimes {
@@ -30,6 +35,10 @@
      * @param bornAt Unix time of the start of the process; undefined if the withdrawal does not contain it
      */
     readonly end: (instanceId: string, bornAt?: Milliseconds) => boolean;
+    /** Records that the target will stop soon. This cannot be undone within a lifetime. */
+    readonly markLeaving: (reference: LifetimeReference) => void;
+    /** Returns whether the lifetime was marked as leaving. Always false without an instance id. */
+    readonly isLeaving: (reference: LifetimeReference) => boolean;
 }
 
 /**
@@ -89,5 +98,13 @@
             lifetime.isEnded = true;
             return true;
         },
+        markLeaving: ({ instanceId, bornAt }) => {
+            const lifetime = instanceId === undefined ? undefined : findLifetime(instanceId, bornAt);
+            if (lifetime !== undefined) {
+                lifetime.isLeaving = true;
+            }
+        },
+        isLeaving: ({ instanceId, bornAt }) =>
+            instanceId !== undefined && findLifetime(instanceId, bornAt)?.isLeaving === true,
     };
 };
--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -126,6 +126,7 @@
     dependencies: LocalTargetManagerDependencies,
     announcement: Announcement,
     predecessorGate: Gate | undefined,
+    onLeaving: (gate: Gate) => void,
 ): LocalTarget => {
     const { clock, logger } = dependencies;
     const gate = dependencies.createGate(CLOSED_LIMIT, 0);
@@ -135,7 +136,9 @@
         since: estimateStartTime(dependencies, announcement),
         leaving: false,
         predecessorGate,
-        recordFeedback: createFeedbackRecorder({ clock, logger, target: describeTarget(announcement), gate }),
+        recordFeedback: createFeedbackRecorder({
+            clock, logger, target: describeTarget(announcement), gate, onLeaving: () => onLeaving(gate),
+        }),
     };
 };
 
@@ -172,6 +175,9 @@
     };
 
     const startLeaving = (local: LocalTarget): void => {
+        if (local.leaving) {
+            return;
+        }
         target = { ...local, leaving: true };
         publish();
         logger.info("The target is leaving.", { ...describeTarget(local.announcement) });
@@ -201,7 +207,12 @@
     };
 
     const installTarget = (announcement: Announcement): void => {
-        target = createLocalTarget(dependencies, announcement, disappearedGate);
+        target = createLocalTarget(dependencies, announcement, disappearedGate, (gate) => {
+            lifetimes.markLeaving(announcement);
+            if (target?.gate === gate) {
+                startLeaving(target);
+            }
+        });
         applyLimit(dependencies, target);
         publish();
         logger.info("A target was announced.", { ...describeTarget(announcement) });
@@ -215,7 +226,7 @@
             applyLimit(dependencies, target);
             publish();
         }
-        if (announcement.leaving && !local.leaving) {
+        if (announcement.leaving) {
             startLeaving(target);
         }
     };
@@ -241,7 +252,8 @@
             heartbeatTimer.restart();
         }
         installTarget(announcement);
-        if (announcement.leaving && target !== undefined) {
+        // A target whose heartbeats were missing for some time comes back with the same lifetime.
+        if (target !== undefined && (announcement.leaving || lifetimes.isLeaving(announcement))) {
             startLeaving(target);
         }
     };
@@ -250,9 +262,7 @@
         if (target === undefined || !isTargetOfService(target, service)) {
             return false;
         }
-        if (!target.leaving) {
-            startLeaving(target);
-        }
+        startLeaving(target);
         return true;
     };
 
