--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -153,6 +153,13 @@
     clock.after(leavingQueueMs, gate.refuseWaiting);
 };
 
+/** Drains the gate of a target that has stated its departure, and returns the leaving target. */
+const closeLeavingTarget = (dependencies: LocalTargetManagerDependencies, local: LocalTarget): LocalTarget => {
+    dependencies.logger.info("The target is leaving.", { ...describeTarget(local.announcement) });
+    closeGate(dependencies, local.gate);
+    return { ...local, leaving: true };
+};
+
 const applyLimit = ({ findLimit }: LocalTargetManagerDependencies, { announcement, gate }: LocalTarget): void => {
     const limit = findLimit(announcement);
     // The gate never admits more requests than the target accepts connections, so an admitted request never waits for a
@@ -175,13 +182,10 @@
     };
 
     const startLeaving = (local: LocalTarget): void => {
-        if (local.leaving) {
-            return;
+        if (!local.leaving) {
+            target = closeLeavingTarget(dependencies, local);
+            publish();
         }
-        target = { ...local, leaving: true };
-        publish();
-        logger.info("The target is leaving.", { ...describeTarget(local.announcement) });
-        closeGate(dependencies, local.gate);
     };
 
     const removeTarget = (): void => {
