Gateways remind a gate of the departure and the limit that its target has stated

What callers saw: nothing; found by the failing test with a restart of the node beside a leaving target. Cause: the gate alone knew what its target states, and a restart erased it: requests from nodes that had passed the departure on reached the target until its first response (4 late requests in the failing test, 2 of these of the restarted node itself). Change: responses between nodes carry the lifetime and the statements of the gate's target while there are any; a gateway keeps them by node and sends them along; a gate of the same lifetime adopts them: a departure at once, a limit until its target's first response. A departure is final for its lifetime.

--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -7,6 +7,7 @@
 import { createSeededRandom } from "oleandergap-utils";
 import type { AdmissionRefusal } from "../admin/readiness.js";
 import { createGatewayHandler, type GatewayHandlerDependencies } from "../gateway/gatewayHandler.js";
+import { createFeedbackMemory } from "../gateway/feedbackMemory.js";
 import type { FindOwnerRouter } from "../gateway/ownerRouting.js";
 import { createElapsedWaitEstimator } from "../gateway/elapsedWaitEstimator.js";
 import { createRequestContainment } from "../gateway/requestContainment.js";
@@ -98,6 +99,7 @@
             gateSilenceMs: options.gateSilenceMs ?? 500,
             bodySilenceMs: 30_000,
             logUnresponsiveGate: options.logUnresponsiveGate ?? (() => undefined),
+            feedbackMemory: createFeedbackMemory(),
         }),
         createRequestContainment: createRequestContainment(options.containment ?? createIsolatedContainment(clock)),
         closed,
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -18,7 +18,7 @@
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
 import { startListener, type HandleArrival, type Listener, type ListenerOptions } from "../http/listener.js";
 import { defaultDialects } from "../http/dialect.js";
-import { createLocalTargetManager, type LocalTargetManager } from "../target/localTargetManager.js";
+import { createLocalTargetManager, describeFeedback, type LocalTargetManager } from "../target/localTargetManager.js";
 
 export const LOOPBACK = "127.0.0.1";
 
@@ -295,6 +295,7 @@
         countRequest: () => undefined,
         serve,
         load: () => targetManager.current()?.gate.load(),
+        feedback: () => describeFeedback(targetManager.current()),
         maxBodyBytes: 64 * 1024 * 1024,
         usualTimeoutMs: 5000,
     }), options.turns);
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -10,7 +10,7 @@
 import { toRequestResult } from "../http/requestResult.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
 import { findServiceRow, type LocalService } from "../target/localService.js";
-import { createLocalTargetManager, type LocalTargetManager } from "../target/localTargetManager.js";
+import { createLocalTargetManager, describeFeedback, type LocalTargetManager } from "../target/localTargetManager.js";
 import { createContainmentGuard } from "./containmentGuard.js";
 import { createClaims, type Claims } from "./createClaims.js";
 import { createGateHandler } from "./gateHandler.js";
@@ -124,6 +124,7 @@
         logger: createPartLogger("gate"),
         serve,
         load,
+        feedback: () => describeFeedback(target.current()),
         maxBodyBytes: requests.maxBodyBytes,
         usualTimeoutMs: requests.usualTimeoutMs,
         countRequest: (end, duration) => dependencies.metrics.countRequest("gate", end, duration),
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -13,6 +13,7 @@
     VERDICT_HEADER,
     type Clock,
     type GateLoad,
+    type LifetimeFeedback,
     type Milliseconds,
     type RequestFailure,
     type ServiceReference,
@@ -21,6 +22,7 @@
 import { createCallerSignals } from "../http/callerSignals.js";
 import {
     CALLER_HEADER,
+    FEEDBACK_HEADER,
     IDEMPOTENT_HEADER,
     KIND_HEADER,
     OBJECTIVE_HEADER,
@@ -32,6 +34,7 @@
 } from "../http/headers.js";
 import type { RequestArrival } from "../http/listener.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
+import { formatFeedback, parseFeedback } from "../http/feedbackHeader.js";
 import { formatLoad } from "../http/loadHeader.js";
 import { describeFailure, HTTP_STATUS, statusOfFailure } from "../http/refusal.js";
 import { createCachedParser } from "../http/cachedParser.js";
@@ -47,6 +50,8 @@
     readonly serve: ServeAtGate;
     /** Returns the load of the gate; undefined while there is no target. */
     readonly load: () => GateLoad | undefined;
+    /** Returns what the target has stated about itself; undefined if there is nothing to report. */
+    readonly feedback: () => LifetimeFeedback | undefined;
     readonly maxBodyBytes: number;
     /** Timeout of a request that has no timeout header, in milliseconds. */
     readonly usualTimeoutMs: Milliseconds;
@@ -121,6 +126,7 @@
         priority: readPriority(request),
         kind: readRequestHeader(request, KIND_HEADER) ?? "",
         isSuspect: readRequestHeader(request, SUSPECT_HEADER) !== undefined,
+        knownFeedback: parseFeedback(readRequestHeader(request, FEEDBACK_HEADER)),
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
         deadline: receivedAt + timeout.right,
@@ -147,6 +153,10 @@
         if (load !== undefined) {
             headers[LOAD_HEADER] = formatLoad(load);
         }
+        const feedback = dependencies.feedback();
+        if (feedback !== undefined) {
+            headers[FEEDBACK_HEADER] = formatFeedback(feedback);
+        }
         return headers;
     };
 
--- a/packages/oleandergap-node/src/gate/gateRequest.ts
+++ b/packages/oleandergap-node/src/gate/gateRequest.ts
@@ -1,6 +1,6 @@
 /** A request at the gate of the node that hosts its target, received over the network or from the local gateway. */
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Milliseconds, RequestFailure, ServiceReference } from "oleandergap-types";
+import type { LifetimeFeedback, Milliseconds, RequestFailure, ServiceReference } from "oleandergap-types";
 import type { UpstreamResponse } from "../http/upstreamResponse.js";
 import type { RequestBody } from "../http/requestBody.js";
 
@@ -25,6 +25,8 @@
     readonly kind: string;
     /** True if targets have crashed while running this request. It must not run concurrently with another suspect. */
     readonly isSuspect: boolean;
+    /** What the node of the gateway knows of the target's statements; undefined if it knows of none. */
+    readonly knownFeedback: LifetimeFeedback | undefined;
     /** Idempotency key of a non-idempotent request. */
     readonly idempotencyKey: string | undefined;
     /** Id of the attempt. */
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -3,7 +3,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Admission, ReleaseOutcome } from "oleandergap-gate";
 import type { ClaimManager } from "oleandergap-idempotency";
-import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
+import { isSameLifetime, type Clock, type Milliseconds, type RequestFailure } from "oleandergap-types";
 import { discardBody, observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { TargetDialect, TargetRequest } from "../http/dialect.js";
@@ -152,7 +152,7 @@
         const outcome = await (monitored.open?.outcome ?? monitored.outcome);
         if (either.isRight(outcome)) {
             latencyMeter.add(clock.monotonic() - startedAt);
-            target.recordFeedback(dialect.readFeedback(outcome.right.headers), startedAt);
+            target.feedback.record(dialect.readFeedback(outcome.right.headers), startedAt);
         }
         return convertRefusal(dialect, outcome);
     };
@@ -174,6 +174,9 @@
         if (target === undefined || !isTargetOfService(target, request)) {
             return either.left(noTargetRefusal);
         }
+        if (request.knownFeedback !== undefined && isSameLifetime(request.knownFeedback, target.announcement)) {
+            target.feedback.adopt(request.knownFeedback.feedback);
+        }
         const stoppedRefusal = rolloutObserver?.findRefusal(target);
         if (stoppedRefusal !== undefined) {
             return either.left(stoppedRefusal);
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -23,6 +23,7 @@
 import { createCallerServiceLookup } from "../target/localService.js";
 import type { LocalTargetManager } from "../target/localTargetManager.js";
 import { createElapsedWaitEstimator } from "./elapsedWaitEstimator.js";
+import { createFeedbackMemory } from "./feedbackMemory.js";
 import { createGatewayHandler } from "./gatewayHandler.js";
 import { createOwnerRouting } from "./ownerRouting.js";
 import { createRequestContainment } from "./requestContainment.js";
@@ -90,6 +91,7 @@
         gateSilenceMs: requests.gateSilenceMs,
         bodySilenceMs: requests.bodySilenceMs,
         logUnresponsiveGate: createUnresponsiveGateLog(clock, createPartLogger("gateway")),
+        feedbackMemory: createFeedbackMemory(),
     });
 };
 
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -25,6 +25,7 @@
 import type { ConnectionPools } from "../http/connectionPools.js";
 import {
     CALLER_HEADER,
+    FEEDBACK_HEADER,
     IDEMPOTENT_HEADER,
     KIND_HEADER,
     OBJECTIVE_HEADER,
@@ -32,11 +33,13 @@
     STARVED_HEADER,
     SUSPECT_HEADER,
 } from "../http/headers.js";
+import { formatFeedback, parseFeedback } from "../http/feedbackHeader.js";
 import { parseLoad } from "../http/loadHeader.js";
 import { readFailure } from "../http/refusal.js";
 import type { RequestBody } from "../http/requestBody.js";
 import { sendMonitored, type PendingAttempt, type InactivityReport } from "../http/monitoredExchange.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { FeedbackMemory } from "./feedbackMemory.js";
 import type { LogUnresponsiveGate } from "./unresponsiveGateLog.js";
 
 export interface SendToGateDependencies {
@@ -51,6 +54,7 @@
     readonly gateSilenceMs: Milliseconds;
     readonly bodySilenceMs: Milliseconds;
     readonly logUnresponsiveGate: LogUnresponsiveGate;
+    readonly feedbackMemory: FeedbackMemory;
 }
 
 export interface GateAttempt {
@@ -110,21 +114,35 @@
         result :
         { ...result, outcome: either.right(observeResponseBody(result.outcome.right, attempt)) };
 
-const readOutcome = (outcome: Either<RequestFailure, UpstreamResponse>, attempt: GateAttempt): GateOutcome =>
-    either.isLeft(outcome) ?
-        { outcome, load: undefined, retriedDownstream: false, isStarved: false } :
-        observeResult(readGateResponse(outcome.right), attempt);
+/** Receives the responses of a gate before they are read. */
+type ObserveResponse = (response: UpstreamResponse) => void;
+
+const readOutcome = (
+    outcome: Either<RequestFailure, UpstreamResponse>,
+    attempt: GateAttempt,
+    observeResponse: ObserveResponse,
+): GateOutcome => {
+    if (either.isLeft(outcome)) {
+        return { outcome, load: undefined, retriedDownstream: false, isStarved: false };
+    }
+    observeResponse(outcome.right);
+    return observeResult(readGateResponse(outcome.right), attempt);
+};
 
 /**
  * Converts a pending attempt to the router's type. A response that arrives after the inactivity timeout counts as a
  * heartbeat of its gate.
  */
-const toOpenAttempt = ({ outcome, cancel }: PendingAttempt, attempt: GateAttempt): OpenAttempt<UpstreamResponse> => ({
+const toOpenAttempt = (
+    { outcome, cancel }: PendingAttempt,
+    attempt: GateAttempt,
+    observeResponse: ObserveResponse,
+): OpenAttempt<UpstreamResponse> => ({
     result: outcome.then((settled) => {
         if (either.isRight(settled)) {
             attempt.progress.recordHeartbeat();
         }
-        return readOutcome(settled, attempt);
+        return readOutcome(settled, attempt, observeResponse);
     }),
     cancel,
 });
@@ -147,6 +165,7 @@
             priority: request.priority,
             kind: request.kind,
             isSuspect,
+            knownFeedback: undefined,
             idempotencyKey: request.idempotencyKey,
             requestId: dependencies.nextAttemptId(),
             deadline,
@@ -158,7 +177,10 @@
         return { outcome, load: dependencies.localLoad(), retriedDownstream: false, isStarved };
     };
 
-    const createHeaders = ({ request, caller, isSuspect, deadline }: GateAttempt) => (requestId: string): string[] => {
+    const createHeaders = (
+        { nodeId }: TargetMember,
+        { request, caller, isSuspect, deadline }: GateAttempt,
+    ) => (requestId: string): string[] => {
         const headers = [
             "host", request.host,
             ...request.headers,
@@ -178,9 +200,18 @@
         if (isSuspect) {
             headers.push(SUSPECT_HEADER, "yes");
         }
+        const knownFeedback = dependencies.feedbackMemory.find(nodeId);
+        if (knownFeedback !== undefined) {
+            headers.push(FEEDBACK_HEADER, formatFeedback(knownFeedback));
+        }
         return headers;
     };
 
+    const createFeedbackObserver = ({ nodeId }: TargetMember): ObserveResponse => ({ headers }) => {
+        const reported = parseFeedback(readResponseHeader(headers, FEEDBACK_HEADER));
+        dependencies.feedbackMemory.record(nodeId, reported, readFailure(headers) === undefined);
+    };
+
     const sendToNode = async (target: TargetMember, attempt: GateAttempt): Promise<GateOutcome> => {
         const { request, body, deadline, signal, progress } = attempt;
         progress.expectHeartbeats();
@@ -209,7 +240,7 @@
             readFailure: ({ headers }) => readFailure(headers),
             responseIdHeader: REQUEST_ID_HEADER,
             getResponseId: (requestId) => requestId,
-            createHeaders: createHeaders(attempt),
+            createHeaders: createHeaders(target, attempt),
             onHeartbeat: progress.recordHeartbeat,
             onInactivity: (report) => {
                 const wasSilent = progress.silent();
@@ -218,8 +249,9 @@
             },
             onLoss: (report) => logInactivity(report, true),
         });
-        const result = readOutcome(outcome, attempt);
-        return open === undefined ? result : { ...result, open: toOpenAttempt(open, attempt) };
+        const recordFeedback = createFeedbackObserver(target);
+        const result = readOutcome(outcome, attempt, recordFeedback);
+        return open === undefined ? result : { ...result, open: toOpenAttempt(open, attempt, recordFeedback) };
     };
 
     return async (target, attempt) =>
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -44,6 +44,12 @@
  */
 export const SUSPECT_HEADER = "oleandergap-suspect";
 
+/**
+ * Request and response between nodes: what the target at the gate has stated about itself, if it named a request limit
+ * or its departure; see `feedbackHeader.ts`.
+ */
+export const FEEDBACK_HEADER = "oleandergap-target-feedback";
+
 /** Response between nodes: the id of the target crash during which the request was lost. */
 export const CRASH_HEADER = "oleandergap-crash";
 
--- a/packages/oleandergap-node/src/target/feedbackRecorder.ts
+++ b/packages/oleandergap-node/src/target/feedbackRecorder.ts
@@ -4,12 +4,22 @@
 import type { Clock, Milliseconds, TargetFeedback } from "oleandergap-types";
 import { createFeedbackLog } from "./feedbackLog.js";
 
-/**
- * Records the statements of one response.
- *
- * @param sentAt monotonic time at which the request of the response was sent to the target
- */
-export type RecordFeedback = (feedback: TargetFeedback, sentAt: Milliseconds) => void;
+/** The statements of one target lifetime. */
+export interface FeedbackRecorder {
+    /**
+     * Records the statements of one response.
+     *
+     * @param sentAt monotonic time at which the request of the response was sent to the target
+     */
+    readonly record: (feedback: TargetFeedback, sentAt: Milliseconds) => void;
+    /**
+     * Applies statements that another node has received, as far as no response has arrived here. After a restart of
+     * this node, the other nodes still have them, and the target need not repeat them before the next request is sent.
+     */
+    readonly adopt: (feedback: TargetFeedback) => void;
+    /** Returns the statements in force; undefined if the target has named no limit and no departure. */
+    readonly current: () => TargetFeedback | undefined;
+}
 
 /** Dependencies of the recorder of one target lifetime. */
 export interface FeedbackRecorderDependencies {
@@ -25,27 +35,53 @@
 /** Creates the recorder of one target lifetime. */
 export const createFeedbackRecorder = (
     { clock, logger, target, gate, onLeaving }: FeedbackRecorderDependencies,
-): RecordFeedback => {
+): FeedbackRecorder => {
     const logFeedback = createFeedbackLog({ clock, logger, target, countRecentRequests: gate.countRecentRequests });
     let limitNamedAt = Number.NEGATIVE_INFINITY;
+    let requestLimit: number | undefined;
+    let isLeaving = false;
+    let hasResponse = false;
+
+    const setLimit = (limit: number | undefined): void => {
+        requestLimit = limit;
+        gate.setRequestLimit(limit);
+    };
 
-    const recordLimit = ({ requestLimit }: TargetFeedback, sentAt: Milliseconds): void => {
+    const markLeaving = (): void => {
+        isLeaving = true;
+        onLeaving();
+    };
+
+    const recordLimit = (limit: number | undefined, sentAt: Milliseconds): void => {
         // Responses may arrive in another order than the target sent them. Only the response to a request that was sent
         // after the limit was last named shows that the limit no longer holds.
-        if (requestLimit === undefined && sentAt <= limitNamedAt) {
+        if (limit === undefined && sentAt <= limitNamedAt) {
             return;
         }
-        if (requestLimit !== undefined) {
+        if (limit !== undefined) {
             limitNamedAt = clock.monotonic();
         }
-        gate.setRequestLimit(requestLimit);
+        setLimit(limit);
     };
 
-    return (feedback, sentAt) => {
-        logFeedback(feedback);
-        recordLimit(feedback, sentAt);
-        if (feedback.isLeaving) {
-            onLeaving();
-        }
+    return {
+        record: (feedback, sentAt) => {
+            hasResponse = true;
+            logFeedback(feedback);
+            recordLimit(feedback.requestLimit, sentAt);
+            if (feedback.isLeaving) {
+                markLeaving();
+            }
+        },
+        adopt: (feedback) => {
+            if (!hasResponse && feedback.requestLimit !== undefined) {
+                setLimit(feedback.requestLimit);
+            }
+            if (feedback.isLeaving && !isLeaving) {
+                logger.info("Other nodes report that the target is leaving.", { ...target });
+                markLeaving();
+            }
+        },
+        current: () => requestLimit === undefined && !isLeaving ? undefined : { requestLimit, isLeaving },
     };
 };
--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -10,12 +10,13 @@
 import type {
     Announcement,
     Clock,
+    LifetimeFeedback,
     Limit,
     MemberTarget,
     Milliseconds,
     ServiceReference,
 } from "oleandergap-types";
-import { createFeedbackRecorder, type RecordFeedback } from "./feedbackRecorder.js";
+import { createFeedbackRecorder, type FeedbackRecorder } from "./feedbackRecorder.js";
 import { createHeartbeatTimer } from "./heartbeatTimer.js";
 import { createLifetimes } from "./lifetimes.js";
 
@@ -28,8 +29,8 @@
     readonly leaving: boolean;
     /** Gate of the previous target, if that target disappeared without leaving; undefined otherwise. */
     readonly predecessorGate: Gate | undefined;
-    /** Records what a response of the target states about it. */
-    readonly recordFeedback: RecordFeedback;
+    /** What the target states about itself in its responses. */
+    readonly feedback: FeedbackRecorder;
 }
 
 export interface LocalTargetManagerDependencies {
@@ -136,7 +137,7 @@
         since: estimateStartTime(dependencies, announcement),
         leaving: false,
         predecessorGate,
-        recordFeedback: createFeedbackRecorder({
+        feedback: createFeedbackRecorder({
             clock, logger, target: describeTarget(announcement), gate, onLeaving: () => onLeaving(gate),
         }),
     };
@@ -160,6 +161,13 @@
     return { ...local, leaving: true };
 };
 
+/** Returns what a target has stated about itself, for other nodes; undefined if there is nothing to report. */
+export const describeFeedback = (local: LocalTarget | undefined): LifetimeFeedback | undefined => {
+    const feedback = local?.feedback.current();
+    const { instanceId, bornAt } = local?.announcement ?? {};
+    return feedback === undefined || instanceId === undefined ? undefined : { instanceId, bornAt, feedback };
+};
+
 const applyLimit = ({ findLimit }: LocalTargetManagerDependencies, { announcement, gate }: LocalTarget): void => {
     const limit = findLimit(announcement);
     // The gate never admits more requests than the target accepts connections, so an admitted request never waits for a
--- a/packages/oleandergap-types/src/targetFeedback.ts
+++ b/packages/oleandergap-types/src/targetFeedback.ts
@@ -1,5 +1,6 @@
 /** What a target states about itself in its responses, in addition to its announcements. */
 import { z } from "zod";
+import { announcementSchema, type Announcement } from "./member.js";
 
 /** Upper bound of a request limit, in requests per second. Higher values count as no limit. */
 const MAX_REQUEST_LIMIT = 1_000_000;
@@ -16,6 +17,22 @@
 });
 export type TargetFeedback = z.infer<typeof targetFeedbackSchema>;
 
+/** The statements of a target together with the lifetime of the process that made them. */
+export const lifetimeFeedbackSchema = z.strictObject({
+    instanceId: announcementSchema.shape.instanceId.unwrap(),
+    bornAt: announcementSchema.shape.bornAt,
+    feedback: targetFeedbackSchema,
+});
+export type LifetimeFeedback = z.infer<typeof lifetimeFeedbackSchema>;
+
+/** Returns whether two references name one lifetime. A missing start time matches any start time. */
+export const isSameLifetime = (
+    left: Pick<Announcement, "instanceId" | "bornAt">,
+    right: Pick<Announcement, "instanceId" | "bornAt">,
+): boolean =>
+    left.instanceId !== undefined && left.instanceId === right.instanceId &&
+    (left.bornAt === undefined || right.bornAt === undefined || left.bornAt === right.bornAt);
+
 const DECIMAL_PATTERN = /^\d{1,7}(\.\d{1,9})?$/;
 
 /** Parses a request limit. Returns undefined for text that is no decimal number, or that is too large to be a limit. */
