Targets: a response of another instance says nothing about the target at the gate

Cause: on the platform, another instance at the target's address answers 421; its statements were taken for the target's, so that a limit of ours could end, or a departure begin, by the word of its successor. Found by reading.

--- a/packages/oleandergap-node/src/http/dialect.ts
+++ b/packages/oleandergap-node/src/http/dialect.ts
@@ -80,8 +80,11 @@
     readonly expectResponseId: (request: TargetRequest) => string | undefined;
     /** Returns the refusal that a response represents; undefined when the target ran the request. */
     readonly readRefusal: (statusCode: number, headers: ResponseHeaders) => RequestFailure | undefined;
-    /** Returns what the target states about itself in a response, including a refusal. */
-    readonly readFeedback: (headers: ResponseHeaders) => TargetFeedback;
+    /**
+     * Returns what the target states about itself in a response, including a refusal; undefined when another target
+     * sent the response.
+     */
+    readonly readFeedback: (statusCode: number, headers: ResponseHeaders) => TargetFeedback | undefined;
 }
 
 /** Dialects of both sides of a node. */
@@ -117,7 +120,7 @@
     responseIdHeader: REQUEST_ID_HEADER,
     expectResponseId: ({ attemptId }) => attemptId,
     readRefusal: (_statusCode, headers) => readTargetRefusal(headers),
-    readFeedback: (headers) => ({
+    readFeedback: (_statusCode, headers) => ({
         requestLimit: parseRequestLimit(readResponseHeader(headers, TARGET_LIMIT_HEADER)),
         isLeaving: readResponseHeader(headers, TARGET_LEAVING_HEADER) === "yes",
     }),
