--- a/packages/oleandergap-node/src/__tests__/feedbackMemory.test.ts
+++ b/packages/oleandergap-node/src/__tests__/feedbackMemory.test.ts
@@ -99,6 +99,12 @@
         expect(gate.published.at(-1)).to.include({ leaving: true });
     });
 
+    it("reports what its target states in a response", async () => {
+        const { headers } = await send(undefined);
+        expect(headers).to.include({ "oleandergap-verdict": "ran", "oleandergap-target-feedback": "2,no,5,i-1" });
+        expect(headers).not.to.have.property("oleandergap-target-limit");
+    });
+
     it("ignores a reminder about a former lifetime", async () => {
         expect(await send(createFeedback({ isLeaving: true }, 4))).to.include({ statusCode: 200 });
     });
--- a/packages/oleandergap-standins/src/target/handleRequest.ts
+++ b/packages/oleandergap-standins/src/target/handleRequest.ts
@@ -6,6 +6,8 @@
 import {
     REASON_HEADER,
     REQUEST_ID_HEADER,
+    TARGET_LEAVING_HEADER,
+    TARGET_LIMIT_HEADER,
     VERDICT_HEADER,
     type Clock,
     type Milliseconds,
@@ -59,12 +61,20 @@
 
 const SERVICE_UNAVAILABLE = 503;
 
+/** Returns the headers with what the target states about itself. */
+const describeFeedback = ({ requestLimit, statesLeaving }: TargetFaults): Record<string, string> => ({
+    ...requestLimit === undefined ? {} : { [TARGET_LIMIT_HEADER]: String(requestLimit) },
+    ...statesLeaving ? { [TARGET_LEAVING_HEADER]: "yes" } : {},
+});
+
 const sendRefusal = (
+    context: RequestContext,
     response: ServerResponse,
     reason: RefusalReason,
-    retryAfterMs: Milliseconds,
 ): void => {
+    const retryAfterMs = context.options.serviceTime.medianMs;
     sendJson(response, { error: reason }, SERVICE_UNAVAILABLE, {
+        ...describeFeedback(context.faults()),
         [VERDICT_HEADER]: "notRun",
         [REASON_HEADER]: reason,
         ...formatRetryAfterHeaders(retryAfterMs),
@@ -111,7 +121,10 @@
         bodyBytes: body.bytes,
         bodyDigest: body.digest,
     };
-    const headers = requestHeaders.requestId === undefined ? {} : { [REQUEST_ID_HEADER]: requestHeaders.requestId };
+    const headers = {
+        ...describeFeedback(context.faults()),
+        ...requestHeaders.requestId === undefined ? {} : { [REQUEST_ID_HEADER]: requestHeaders.requestId },
+    };
     await sendEcho(response, echo, requestHeaders.answerPadding, headers, isTruncated);
     context.counters.answered += isTruncated ? 0 : 1;
 };
@@ -151,16 +164,16 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> => {
-    const { counters, options } = context;
+    const { counters } = context;
     const requestHeaders = readRequestHeaders(request);
     if (requestHeaders.timeoutMs !== undefined && requestHeaders.timeoutMs <= 0) {
         counters.expired += 1;
-        sendRefusal(response, "DeadlinePassed", options.serviceTime.medianMs);
+        sendRefusal(context, response, "DeadlinePassed");
         return;
     }
     if (shouldShed(context)) {
         counters.shed += 1;
-        sendRefusal(response, "QueueFull", options.serviceTime.medianMs);
+        sendRefusal(context, response, "QueueFull");
         return;
     }
     counters.inFlight += 1;
--- a/packages/oleandergap-standins/src/target/options.ts
+++ b/packages/oleandergap-standins/src/target/options.ts
@@ -74,6 +74,10 @@
     silent: z.boolean().default(false),
     /** Share of the requests that the target sheds although it has free slots. */
     shedShare: shareSchema.default(0),
+    /** Requests per second that the target names as its limit in each response; it names none if absent. */
+    requestLimit: z.number().nonnegative().optional(),
+    /** Whether the target states in each response that it is leaving, whatever it announces. */
+    statesLeaving: z.boolean().default(false),
     /** Path (without query) of requests that crash the target after their processing. Empty for none. */
     crashPath: z.string().default(""),
     /** Time after which a crashed target restarts. */
