Tests: how gateways place requests while a target's capacity is reduced

Change: a reduced capacity counts, and loses its weight with its age; a refusal of a gate that reports a wait counts as a lack of capacity although a slot is free.

--- a/packages/oleandergap-routing/src/__tests__/targetPicker.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/targetPicker.test.ts
@@ -80,6 +80,18 @@
         expect(counts.get(first?.target.nodeId ?? "")).to.be.at.least(25);
     });
 
+    // Guards against a target that stays unused after its request limit has ended, as no response reports its capacity.
+    it("uses a target less while its reported capacity is reduced, and again when the report is old", async () => {
+        const harness = createPickerHarness(createTargets("hall-a", 2), createRow({ "hall-a": 1 }));
+        const limitedLoad = { inFlight: 0, queued: 0, capacity: 1, expectedWaitMs: 0 };
+        const first = harness.pick();
+        first?.report({ kind: "Answered", latencyMs: 10 }, limitedLoad);
+        const nodeId = first?.target.nodeId ?? "";
+        expect((await harness.send(100)).get(nodeId) ?? 0).to.be.at.most(10);
+        harness.clock.freeze(10_000);
+        expect((await harness.send(100)).get(nodeId)).to.be.at.least(25);
+    });
+
     it("stays in the local zone with even callers and weights, and leaves it when it is overloaded", async () => {
         const weights = createRow({ "hall-a": 1, "hall-b": 1, "hall-c": 1 });
         const harness = createPickerHarness(threeZones, weights, { callerSpread: "evenOverZones" }, "hall-b");
--- a/packages/oleandergap-routing/src/__tests__/zoneFailures.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/zoneFailures.test.ts
@@ -62,6 +62,15 @@
         expect(harness.zone("hall-a")?.spill).to.equal(0);
     });
 
+    it("treats a refused deadline as lack of capacity if the gate reports a wait although slots are free", () => {
+        const harness = createPickerHarness(targets, evenRow);
+        const limitedLoad = { inFlight: 1, queued: 1, capacity: 3, expectedWaitMs: 800 };
+        for (let count = 0; count < 50; count++) {
+            harness.pick()?.report({ kind: "Refused", reason: "DeadlineTooShort" }, limitedLoad);
+        }
+        expect(harness.zone("hall-a")?.spill).to.be.greaterThan(0.3);
+    });
+
     // Guards against a zone that refuses requests while the others have capacity, and against zones that are overloaded
     // in turn. Without spill, hall-a refuses two thirds of its share; if its share returned at once, all 20 nodes would
     // switch back together.
