--- a/packages/oleandergap-node/src/target/feedbackLog.ts
+++ b/packages/oleandergap-node/src/target/feedbackLog.ts
@@ -1,13 +1,18 @@
 /** Logs what the local target states about itself in its responses, with the number of requests that it gets. */
 import type { Logger, LogContext } from "oleandergap-logger";
-import type { Clock, Milliseconds, TargetFeedback } from "oleandergap-types";
+import type { Clock, Milliseconds } from "oleandergap-types";
 
 /** Interval between two lines about the requests at a target that names a limit. */
 const REPORT_PERIOD_MS: Milliseconds = 4000;
 const RATE_PERIOD_MS: Milliseconds = 1000;
 
-/** Writes a line when a statement changes, and one per period while the target names a limit. */
-export type LogFeedback = (feedback: TargetFeedback) => void;
+/** The log of one target lifetime. */
+export interface FeedbackLog {
+    /** Writes a line if the limit (requests per second) has changed, and one per period while there is one. */
+    readonly recordLimit: (requestLimit: number | undefined) => void;
+    /** Writes a line at the first call. */
+    readonly recordDeparture: () => void;
+}
 
 /** Dependencies of the log of one target lifetime. */
 export interface FeedbackLogDependencies {
@@ -22,7 +27,7 @@
 /** Creates the log of one target lifetime. */
 export const createFeedbackLog = (
     { clock, logger, target, countRecentRequests }: FeedbackLogDependencies,
-): LogFeedback => {
+): FeedbackLog => {
     let loggedLimit: number | undefined;
     let isLeaving = false;
     let reportedAt = Number.NEGATIVE_INFINITY;
@@ -34,7 +39,7 @@
         logger.info(message, { ...target, requestLimit, sentLastSecond: countRecentRequests(RATE_PERIOD_MS) });
     };
 
-    const logLimit = (requestLimit: number | undefined): void => {
+    const recordLimit: FeedbackLog["recordLimit"] = (requestLimit) => {
         const isChanged = requestLimit !== loggedLimit;
         if (!isChanged && requestLimit === undefined) {
             return;
@@ -53,11 +58,13 @@
         }
     };
 
-    return (feedback) => {
-        logLimit(feedback.requestLimit);
-        if (feedback.isLeaving && !isLeaving) {
-            isLeaving = true;
-            logger.info("The target states in its responses that it is leaving.", { ...target });
-        }
+    return {
+        recordLimit,
+        recordDeparture: () => {
+            if (!isLeaving) {
+                isLeaving = true;
+                logger.info("The target states in its responses that it is leaving.", { ...target });
+            }
+        },
     };
 };
--- a/packages/oleandergap-node/src/target/feedbackRecorder.ts
+++ b/packages/oleandergap-node/src/target/feedbackRecorder.ts
@@ -36,7 +36,7 @@
 export const createFeedbackRecorder = (
     { clock, logger, target, gate, onLeaving }: FeedbackRecorderDependencies,
 ): FeedbackRecorder => {
-    const logFeedback = createFeedbackLog({ clock, logger, target, countRecentRequests: gate.countRecentRequests });
+    const feedbackLog = createFeedbackLog({ clock, logger, target, countRecentRequests: gate.countRecentRequests });
     let limitNamedAt = Number.NEGATIVE_INFINITY;
     let requestLimit: number | undefined;
     let isLeaving = false;
@@ -61,15 +61,16 @@
         if (limit !== undefined) {
             limitNamedAt = clock.monotonic();
         }
+        feedbackLog.recordLimit(limit);
         setLimit(limit);
     };
 
     return {
         record: (feedback, sentAt) => {
             hasResponse = true;
-            logFeedback(feedback);
             recordLimit(feedback.requestLimit, sentAt);
             if (feedback.isLeaving) {
+                feedbackLog.recordDeparture();
                 markLeaving();
             }
         },
