--- a/packages/oleandergap-node/src/admin/adminHandler.ts
+++ b/packages/oleandergap-node/src/admin/adminHandler.ts
@@ -49,9 +49,11 @@
 
     const describeTarget = (): unknown => {
         const current = target.current();
-        return current === undefined ?
-            { announced: false } :
-            { announced: true, leaving: current.leaving, ...current.gate.load() };
+        if (current === undefined) {
+            return { announced: false };
+        }
+        const requestLimit = current.feedback.current()?.requestLimit;
+        return { announced: true, leaving: current.leaving, requestLimit, ...current.gate.load() };
     };
 
     const sendReadiness = (response: ServerResponse): void => {
--- a/packages/oleandergap-node/src/admin/gauges.ts
+++ b/packages/oleandergap-node/src/admin/gauges.ts
@@ -89,6 +89,10 @@
     addGauge("platform", "Calls to the platform.", ["service", "figure"], () => readPlatformCalls(sources));
     addGauge("gate", "Load of the gate.", ["figure"], () =>
         readNumbers("figure", requestPath.target.current()?.gate.load() ?? {}));
+    addGauge("target_request_limit", "Requests per second that the local target accepts, if it names a limit.", [], () => {
+        const limit = requestPath.target.current()?.feedback.current()?.requestLimit;
+        return limit === undefined ? [] : createSingleReading(limit);
+    });
     addGauge("target_requests_per_second", "Requests sent to the local target in the last second.", [], () =>
         createSingleReading(requestPath.target.current()?.gate.countRecentRequests(RATE_PERIOD_MS) ?? 0));
     addGauge("claims", "Counts of the claims.", ["figure"], () => readNumbers("figure", requestPath.claims.stats()));
