Gate: waiting requests start soon after a request limit has risen

Cause: found in reading the change. The timer of the next request ran for the old rate, up to 2 s, and the rate stayed as low as the compensation for the lower limit had set it, for up to 3 s. Change: a timer runs for 100 ms at most; each change of the limit computes the compensation anew, which is none in a steady state.

--- a/packages/oleandergap-gate/src/__tests__/requestRate.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/requestRate.test.ts
@@ -102,6 +102,17 @@
         expect(listInState("running")).to.have.length(12);
     });
 
+    it("starts waiting requests soon after the limit has risen", async () => {
+        const { clock, gate, submit, listInState } = createGateHarness(12, { queue: 50 });
+        gate.setRequestLimit(0.5);
+        for (let count = 0; count < 5; count++) {
+            await submit();
+        }
+        gate.setRequestLimit(100);
+        await clock.advance(200);
+        expect(listInState("running")).to.have.length(5);
+    });
+
     it("refuses a request at once if the limit leaves it no time before its deadline", async () => {
         const { clock, gate, submit, addServiceTimeSamples } = createGateHarness(12, { queue: 50 });
         await addServiceTimeSamples(SERVICE_MS);
--- a/packages/oleandergap-gate/src/requestRate.ts
+++ b/packages/oleandergap-gate/src/requestRate.ts
@@ -21,6 +21,9 @@
 /** Share of the limit that is sent at least during the compensation. */
 const MINIMUM_COMPENSATED_SHARE = 0.1;
 
+/** Longest timer for the next request. The rate may rise while a timer runs, so a longer one would fire too late. */
+const MAX_TIMER_MS: Milliseconds = 100;
+
 /** Limits and counts the requests to one target. */
 export interface RequestRate {
     /** Applies the limit that the target names, in requests per second; undefined if it names none. */
@@ -33,7 +36,9 @@
     readonly timeToNext: () => Milliseconds;
     /** Returns the mean interval between two requests that are allowed at present; 0 without a limit. */
     readonly interval: () => Milliseconds;
-    /** Calls `callback` once as soon as the limit allows the next request, unless it allows one now. */
+    /**
+     * Calls `callback` once when the limit allows the next request, or somewhat earlier, unless it allows one now.
+     */
     readonly callWhenAllowed: (callback: () => void) => void;
 }
 
@@ -77,7 +82,7 @@
             if (requestsPerSecond === limit) {
                 return;
             }
-            if (requestsPerSecond !== undefined && (limit === undefined || requestsPerSecond < limit)) {
+            if (requestsPerSecond !== undefined) {
                 startCompensation(requestsPerSecond);
             }
             limit = requestsPerSecond;
@@ -93,7 +98,7 @@
         callWhenAllowed: (callback) => {
             const delay = timeToNext();
             if (delay > 0 && cancelTimer === undefined) {
-                cancelTimer = clock.after(Math.max(1, Math.ceil(delay)), () => {
+                cancelTimer = clock.after(Math.min(MAX_TIMER_MS, Math.max(1, Math.ceil(delay))), () => {
                     cancelTimer = undefined;
                     callback();
                 });
