Local target: the target and the steps of its life stand apart from its manager

Change: localTarget.ts holds the type, its creation, its limit, its closing and its descriptions; the gate uses its test. No behaviour changes.

--- a/packages/oleandergap-node/src/__tests__/crashModel.ts
+++ b/packages/oleandergap-node/src/__tests__/crashModel.ts
@@ -28,7 +28,7 @@
 import { createRequestContainment } from "../gateway/requestContainment.js";
 import { createBufferedBody } from "../http/upstreamResponse.js";
 import { fingerprintRequest } from "../http/requestFingerprint.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import type { LocalTarget } from "../target/localTarget.js";
 
 /** Parameters of a simulation. */
 export interface CrashScenario {
--- a/packages/oleandergap-node/src/__tests__/rolloutObserver.test.ts
+++ b/packages/oleandergap-node/src/__tests__/rolloutObserver.test.ts
@@ -6,7 +6,7 @@
 import type { GateRequest } from "../gate/gateRequest.js";
 import { createRolloutObserver } from "../gate/rolloutObserver.js";
 import { createBufferedBody, discardBody, type UpstreamResponse } from "../http/upstreamResponse.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import type { LocalTarget } from "../target/localTarget.js";
 
 const COLD_START_MS = 3000;
 const lostAnswer: RequestFailure = { kind: "AnswerLost", verdict: "mayHaveRun", detail: "reset" };
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -18,7 +18,8 @@
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
 import { startListener, type HandleArrival, type Listener, type ListenerOptions } from "../http/listener.js";
 import { defaultDialects } from "../http/dialect.js";
-import { createLocalTargetManager, describeFeedback, type LocalTargetManager } from "../target/localTargetManager.js";
+import { describeFeedback } from "../target/localTarget.js";
+import { createLocalTargetManager, type LocalTargetManager } from "../target/localTargetManager.js";
 
 export const LOOPBACK = "127.0.0.1";
 
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -21,7 +21,7 @@
 import { createNodeLifecycle } from "./nodeLifecycle.js";
 import type { NodeOptions } from "./options.js";
 import type { RequestPath } from "./requestPathTypes.js";
-import type { LocalTarget } from "./target/localTargetManager.js";
+import type { LocalTarget } from "./target/localTarget.js";
 import { openProcessorProfile } from "./profile/openProcessorProfile.js";
 
 export interface NodeDependencies {
--- a/packages/oleandergap-node/src/gate/crashDetector.ts
+++ b/packages/oleandergap-node/src/gate/crashDetector.ts
@@ -10,7 +10,7 @@
 import type { CrashId, Fingerprint } from "oleandergap-containment";
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { fingerprintRequest } from "../http/requestFingerprint.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import type { LocalTarget } from "../target/localTarget.js";
 import type { GateRequest } from "./gateRequest.js";
 
 /** Resolves with true if the target's port has no listener any more. Never rejects. */
--- a/packages/oleandergap-node/src/gate/rolloutObserver.ts
+++ b/packages/oleandergap-node/src/gate/rolloutObserver.ts
@@ -6,7 +6,7 @@
 import { HTTP_STATUS } from "../http/refusal.js";
 import { FIRST_ERROR_STATUS } from "../http/requestResult.js";
 import { observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import type { LocalTarget } from "../target/localTarget.js";
 import type { GateRequest } from "./gateRequest.js";
 
 type Outcome = Either<RequestFailure, UpstreamResponse>;
--- a/packages/oleandergap-node/src/gate/runObserver.ts
+++ b/packages/oleandergap-node/src/gate/runObserver.ts
@@ -4,7 +4,7 @@
 import { observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
 import { FIRST_ERROR_STATUS } from "../http/requestResult.js";
 import { fingerprintRequest } from "../http/requestFingerprint.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import type { LocalTarget } from "../target/localTarget.js";
 import type { CrashDetector, RunEnd, ObservedRun } from "./crashDetector.js";
 import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import type { LostRun } from "./lostRunLog.js";
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -6,9 +6,9 @@
 import { isSameLifetime, type Milliseconds, type RequestFailure } from "oleandergap-types";
 import { observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
 import { FIRST_ERROR_STATUS } from "../http/requestResult.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import { isTargetOfService, type LocalTarget } from "../target/localTarget.js";
 import { createClaimedRun } from "./claimedRun.js";
-import type { GateRequest, ServeAtGate } from "./gateRequest.js";
+import type { ServeAtGate } from "./gateRequest.js";
 import type { RolloutObserver } from "./rolloutObserver.js";
 import type { ObserveRun } from "./runObserver.js";
 import { createTargetExchange, type TargetExchangeDependencies } from "./targetExchange.js";
@@ -44,10 +44,6 @@
 
 const cancelledRefusal: RequestFailure = { kind: "Refused", verdict: "notRun", reason: "Cancelled", retryAfterMs: 0 };
 
-const isTargetOfService = (target: LocalTarget, request: GateRequest): boolean =>
-    target.announcement.partner === request.service.partner &&
-    target.announcement.service === request.service.service;
-
 const toReleaseOutcome = (failure: RequestFailure, signal: AbortSignal): ReleaseOutcome => {
     if (failure.verdict === "notRun") {
         return "NotStarted";
@@ -81,7 +77,7 @@
 
     return async (request) => {
         const target = dependencies.currentTarget();
-        if (target === undefined || !isTargetOfService(target, request)) {
+        if (target === undefined || !isTargetOfService(target, request.service)) {
             return either.left(noTargetRefusal);
         }
         if (request.knownFeedback !== undefined && isSameLifetime(request.knownFeedback, target.announcement)) {
--- a/packages/oleandergap-node/src/gate/targetExchange.ts
+++ b/packages/oleandergap-node/src/gate/targetExchange.ts
@@ -6,7 +6,7 @@
 import type { TargetDialect, TargetRequest } from "../http/dialect.js";
 import { sendMonitored } from "../http/monitoredExchange.js";
 import { discardBody, type UpstreamResponse } from "../http/upstreamResponse.js";
-import type { LocalTarget } from "../target/localTargetManager.js";
+import type { LocalTarget } from "../target/localTarget.js";
 import type { GateRequest } from "./gateRequest.js";
 import { createLatencyMeter } from "./latencyMeter.js";
 
