Stops: each request that ends without its target's response is logged by id

Callers of a stopping node got a 502 or a response that broke off, and the log said "the caller went away", or nothing at all, so that the hypotheses of the incident could not be told apart. The requests in flight at the gateway and at the gate are now kept in one registry (openRequests.ts, formerly callerSignals.ts); its abort signal carries the cause. A stop logs each request in flight when it aborts the rest and when it closes its connections, and how many ended in which way. A request aborted by the stop before it was sent is now refused as Draining, no longer as Cancelled.

--- a/packages/oleandergap-node/src/__tests__/abortedRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/abortedRequests.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createSystemClock } from "oleandergap-utils";
-import { createCallerSignals } from "../http/callerSignals.js";
+import { createOpenRequests } from "../http/openRequests.js";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
 import { sendHttpRequest, createAnnouncement, createCleanup, startGate, startTarget } from "./support.js";
 
@@ -21,12 +21,12 @@
         const target = await startTarget(cleanup.add, () => arrived());
         const gate = await startGate(cleanup.add, { clock });
         gate.targetManager.announce(createAnnouncement(target));
-        const callerSignals = createCallerSignals();
-        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)], callerSignals });
+        const openRequests = createOpenRequests(clock);
+        const gateway = await startGateway(cleanup.add, { clock, targets: [createMember("a", gate.port)], openRequests });
         const headers = { host: HOST, "oleandergap-timeout-ms": "10000" };
         const request = sendHttpRequest({ port: gateway.port, headers });
         await running;
-        callerSignals.abortAll();
+        openRequests.abortAll();
         const clientResponse = await request;
         expect(clientResponse.isComplete).to.equal(true);
         expect(clientResponse.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -15,7 +15,7 @@
 import type { LogUnresponsiveGate } from "../gateway/unresponsiveGateLog.js";
 import { createSendToGate } from "../gateway/sendToGate.js";
 import { defaultDialects } from "../http/dialect.js";
-import { createCallerSignals, type CallerSignals } from "../http/callerSignals.js";
+import { createOpenRequests, type OpenRequests } from "../http/openRequests.js";
 import { createConnectionPools } from "../http/connectionPools.js";
 import type { Listener, ListenerOptions } from "../http/listener.js";
 import { createIsolatedContainment, LOOPBACK, startTestListener, TEST_LIMIT, type Cleanup } from "./support.js";
@@ -59,7 +59,7 @@
     readonly view?: () => TableView;
     readonly closed?: () => AdmissionRefusal | undefined;
     readonly maxBodyBytes?: number;
-    readonly callerSignals?: CallerSignals;
+    readonly openRequests?: OpenRequests;
     readonly findOwnerRouter?: FindOwnerRouter;
     readonly gateSilenceMs?: number;
     readonly logUnresponsiveGate?: LogUnresponsiveGate;
@@ -80,7 +80,7 @@
         clock,
         logger: createLogger("test"),
         dialect: defaultDialects.caller,
-        callerSignals: options.callerSignals ?? createCallerSignals(),
+        openRequests: options.openRequests ?? createOpenRequests(clock),
         chooseService: createServiceChooser(createSeededRandom(1)),
         estimateElapsedWait: createElapsedWaitEstimator(),
         view: options.view ?? (() => view),
--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -3,6 +3,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import { createManualClock } from "oleandergap-utils";
 import { createReadinessState } from "../admin/readiness.js";
+import { createOpenRequests } from "../http/openRequests.js";
 import { createNodeLifecycle, type LifecycleDependencies, type NodeLifecycle } from "../nodeLifecycle.js";
 import { sendHttpRequest, createCleanup, LOOPBACK, reservePorts, waitUntil, type ReceivedResponse } from "./support.js";
 
@@ -95,8 +96,14 @@
                 pools: { sweep: () => undefined, destroy: destroyPools },
                 hasSubstitute: () => true,
                 canIdentifyLocalTarget: false,
-                abortAll: () => void clock.sleep(finalResponseDelayMs, abortController.signal).then(() =>
-                    openResponses.splice(0).forEach((response) => response.writeHead(503).end())),
+                openRequests: {
+                    gate: createOpenRequests(clock),
+                    gateway: {
+                        ...createOpenRequests(clock),
+                        abortAll: () => void clock.sleep(finalResponseDelayMs, abortController.signal).then(() =>
+                            openResponses.splice(0).forEach((response) => response.writeHead(503).end())),
+                    },
+                },
             },
             handlers: { gateway: holdResponse, gate: holdResponse, control: holdResponse, admin: holdResponse },
             additionalListeners: [],
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -13,6 +13,7 @@
 import { createContainmentGuard } from "../gate/containmentGuard.js";
 import { createTargetRunObserver } from "../gate/createTargetRunObserver.js";
 import { createGateHandler } from "../gate/gateHandler.js";
+import { createOpenRequests } from "../http/openRequests.js";
 import type { ServeAtGate } from "../gate/gateRequest.js";
 import { createServeAtGate } from "../gate/serveAtGate.js";
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
@@ -293,6 +294,8 @@
     const listener = await startTestListener(cleanup, clock, createGateHandler({
         clock,
         logger: createLogger("test"),
+        openRequests: createOpenRequests(clock),
+        readCallerRequestId: defaultDialects.caller.readRequestId,
         countRequest: () => undefined,
         serve,
         load: () => targetManager.current()?.gate.load(),
--- a/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
+++ b/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
@@ -1,7 +1,8 @@
 import http from "node:http";
 import net from "node:net";
 import { expect } from "chai";
-import { createCallerSignals } from "../http/callerSignals.js";
+import { createSystemClock } from "oleandergap-utils";
+import { createOpenRequests } from "../http/openRequests.js";
 import { createTurnQueue } from "../http/turnQueue.js";
 import { createCleanup, LOOPBACK, waitUntil } from "./support.js";
 
@@ -95,7 +96,7 @@
     // Guards against a request that is sent to a target long after its caller disconnected. The caller disconnects
     // while the request is queued. A listener that is added after the connection has ended is never called.
     it("are detected when their connection has already ended", async () => {
-        const signals = createCallerSignals();
+        const signals = createOpenRequests(createSystemClock());
         let serverResponse: http.ServerResponse | undefined;
         const server = http.createServer((_request, response) => {
             serverResponse = response;
@@ -107,19 +108,19 @@
         await waitUntil(() => serverResponse !== undefined);
         client.end();
         await waitUntil(() => serverResponse?.req.socket.readableEnded === true);
-        expect(serverResponse !== undefined && signals.create(serverResponse).aborted).to.equal(true);
+        expect(serverResponse !== undefined && signals.open(serverResponse, undefined).aborted).to.equal(true);
         await waitUntil(() => serverResponse?.destroyed === true);
-        expect(serverResponse !== undefined && signals.create(serverResponse).aborted).to.equal(true);
+        expect(serverResponse !== undefined && signals.open(serverResponse, undefined).aborted).to.equal(true);
     });
 
     // Guards against the same failure at a node that reads pending input before it forwards a request. The end of the
     // connection is read, and the request is forwarded in the same event loop iteration. The `close` event of the
     // response fires only some iterations later, when the target has already received the request.
     it("are detected as soon as the end of their connection is read", async () => {
-        const signals = createCallerSignals();
+        const signals = createOpenRequests(createSystemClock());
         let wasAborted: boolean | undefined;
         const server = http.createServer((request, response) => {
-            const signal = signals.create(response);
+            const signal = signals.open(response, undefined);
             request.socket.once("end", () => {
                 wasAborted = signal.aborted;
             });
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -3,9 +3,9 @@
 import { createGatePath, createTarget } from "./gate/createGatePath.js";
 import { createUnservedCalls } from "./gate/unservedCalls.js";
 import { createGatewayPath } from "./gateway/createGatewayPath.js";
-import { createCallerSignals } from "./http/callerSignals.js";
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
 import { startEventLoopLagMonitor } from "./http/eventLoopLag.js";
+import { createOpenRequests } from "./http/openRequests.js";
 import type { RequestPath, RequestPathDependencies } from "./requestPathTypes.js";
 import { createLocalService } from "./target/localService.js";
 
@@ -28,14 +28,19 @@
     const pools = createPools(dependencies);
     const target = createTarget(dependencies);
     const { catchUp } = startEventLoopLagMonitor({ clock, onPause: createPauseLog(dependencies) }, signal);
-    const callerSignals = createCallerSignals();
+    const openRequests = { gateway: createOpenRequests(clock), gate: createOpenRequests(clock) };
     const unservedCalls = createUnservedCalls(clock);
     const localService = createLocalService(dependencies, target);
     const gate = createGatePath(dependencies, {
-        pools, target, localService: localService, catchUp, isFailureExplained: unservedCalls.explain,
+        pools,
+        target,
+        localService,
+        catchUp,
+        isFailureExplained: unservedCalls.explain,
+        openRequests: openRequests.gate,
     });
     const handleGateway = createGatewayPath(dependencies, {
-        pools, target, gate, callerSignals, catchUp, recordUnserved: unservedCalls.note,
+        pools, target, gate, openRequests: openRequests.gateway, catchUp, recordUnserved: unservedCalls.note,
     });
     return {
         target,
@@ -44,7 +49,7 @@
         pools,
         handleGate: gate.handleGate,
         handleGateway,
-        abortAll: callerSignals.abortAll,
+        openRequests,
         hasSubstitute: localService.hasSubstitute,
         canIdentifyLocalTarget: dependencies.callerService === undefined,
     };
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -6,6 +6,7 @@
 import { recordRequestEnd } from "../admin/recordRequestEnd.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { HandleArrival } from "../http/listener.js";
+import type { OpenRequests } from "../http/openRequests.js";
 import type { EventLoopLagMonitor } from "../http/eventLoopLag.js";
 import { toRequestResult } from "../http/requestResult.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
@@ -28,6 +29,8 @@
     readonly localService: LocalService;
     readonly catchUp: EventLoopLagMonitor["catchUp"];
     readonly isFailureExplained: UnservedCalls["explain"];
+    /** The requests of other nodes that are in flight. */
+    readonly openRequests: OpenRequests;
 }
 
 /** The gate of a node. */
@@ -123,6 +126,8 @@
     const handleGate = createGateHandler({
         clock,
         logger: createPartLogger("gate"),
+        openRequests: parts.openRequests,
+        readCallerRequestId: dependencies.dialects.caller.readRequestId,
         serve,
         load,
         feedback: () => describeFeedback(target.current()),
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -19,7 +19,6 @@
     type ServiceReference,
 } from "oleandergap-types";
 import { toRequestResult, type RequestResult } from "../http/requestResult.js";
-import { createCallerSignals } from "../http/callerSignals.js";
 import {
     CALLER_HEADER,
     FEEDBACK_HEADER,
@@ -33,6 +32,7 @@
     SUSPECT_HEADER,
 } from "../http/headers.js";
 import type { RequestArrival } from "../http/listener.js";
+import type { OpenRequests } from "../http/openRequests.js";
 import { isIdempotentMethod } from "../http/idempotentMethods.js";
 import { formatFeedback, parseFeedback } from "../http/feedbackHeader.js";
 import { formatLoad } from "../http/loadHeader.js";
@@ -47,6 +47,9 @@
 export interface GateHandlerDependencies {
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly openRequests: OpenRequests;
+    /** Returns the id that the caller assigned to the request. */
+    readonly readCallerRequestId: (request: IncomingMessage) => string | undefined;
     readonly serve: ServeAtGate;
     /** Returns the load of the gate; undefined while there is no target. */
     readonly load: () => GateLoad | undefined;
@@ -142,7 +145,6 @@
 /** Creates the handler for requests from other nodes. */
 export const createGateHandler = (dependencies: GateHandlerDependencies) => {
     const { clock, serve } = dependencies;
-    const callerSignals = createCallerSignals();
 
     const createGateHeaders = (requestId: string | undefined): Record<string, string> => {
         const headers: Record<string, string> = {};
@@ -169,7 +171,7 @@
 
     const serveBody = async (response: ServerResponse, head: GateRequestHead, body: RequestBody): Promise<void> => {
         const requestHeartbeats = startRequestHeartbeats(clock, response, body.kind === "Streaming");
-        const signal = callerSignals.create(response);
+        const signal = dependencies.openRequests.open(response, dependencies.readCallerRequestId(response.req));
         const startedAt = clock.monotonic();
         const outcome = await serve({ ...head, body, signal, onAdmitted: requestHeartbeats.markAdmitted });
         requestHeartbeats.stop();
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -15,9 +15,9 @@
 import { recordRequestEnd } from "../admin/recordRequestEnd.js";
 import type { GatePath } from "../gate/createGatePath.js";
 import type { UnservedCalls } from "../gate/unservedCalls.js";
-import type { CallerSignals } from "../http/callerSignals.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
 import type { HandleArrival } from "../http/listener.js";
+import type { OpenRequests } from "../http/openRequests.js";
 import type { EventLoopLagMonitor } from "../http/eventLoopLag.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
 import { createCallerServiceLookup } from "../target/localService.js";
@@ -38,7 +38,7 @@
     readonly pools: ConnectionPools;
     readonly target: LocalTargetManager;
     readonly gate: GatePath;
-    readonly callerSignals: CallerSignals;
+    readonly openRequests: OpenRequests;
     readonly catchUp: EventLoopLagMonitor["catchUp"];
     readonly recordUnserved: UnservedCalls["note"];
 }
@@ -103,7 +103,7 @@
         clock,
         logger: createPartLogger("gateway"),
         dialect: dependencies.dialects.caller,
-        callerSignals: parts.callerSignals,
+        openRequests: parts.openRequests,
         chooseService: createServiceChooser(random),
         estimateElapsedWait: createElapsedWaitEstimator(),
         view: dependencies.view,
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -17,9 +17,9 @@
 } from "oleandergap-types";
 import type { AdmissionRefusal } from "../admin/readiness.js";
 import { discardBody } from "../http/upstreamResponse.js";
-import type { CallerSignals } from "../http/callerSignals.js";
 import type { CallerDialect } from "../http/dialect.js";
 import type { RequestArrival } from "../http/listener.js";
+import type { OpenRequests } from "../http/openRequests.js";
 import { HTTP_STATUS } from "../http/refusal.js";
 import { isReplayable, receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
 import type { RequestResult } from "../http/requestResult.js";
@@ -38,7 +38,7 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly dialect: CallerDialect;
-    readonly callerSignals: CallerSignals;
+    readonly openRequests: OpenRequests;
     readonly chooseService: ChooseService;
     readonly estimateElapsedWait: EstimateElapsedWait;
     /** Returns the tables currently in force. */
@@ -146,7 +146,7 @@
     };
 
     const routeRequest = async (state: RequestState, caller: CallerRequest, body: RequestBody): Promise<void> => {
-        const signal = dependencies.callerSignals.create(state.response);
+        const signal = dependencies.openRequests.open(state.response, state.requestId);
         const { service, row, table, deadline } = caller;
         const found = dependencies.findTargets({ service, row, table, deadline, signal });
         const containment = dependencies.createRequestContainment(caller, body);
--- a/packages/oleandergap-node/src/http/monitoredExchange.ts
+++ b/packages/oleandergap-node/src/http/monitoredExchange.ts
@@ -14,10 +14,11 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
+import type { Clock, Milliseconds, RefusalReason, RequestFailure } from "oleandergap-types";
 import type { Dispatcher } from "undici";
 import { discardBody, type UpstreamResponse } from "./upstreamResponse.js";
 import { startExchange, type Exchange } from "./exchange.js";
+import { getAbortCause } from "./openRequests.js";
 import { startProgressMonitor, type ProgressMonitor } from "./progressMonitor.js";
 import { isReplayable, type RequestBody } from "./requestBody.js";
 
@@ -101,7 +102,7 @@
     readonly open?: PendingAttempt;
 }
 
-type EndReason = "Open" | "DeadlinePassed" | "Cancelled" | "Silent";
+type EndReason = "Open" | "DeadlinePassed" | "Cancelled" | "NodeStopping" | "Silent";
 
 interface MonitoredAttempt extends PendingAttempt {
     /** Resolves when the inactivity timeout expires for the first time; never settles if it does not expire. */
@@ -114,17 +115,22 @@
 const ABORT_DETAILS: Readonly<Record<Exclude<EndReason, "Open">, string>> = {
     DeadlinePassed: "the deadline passed",
     Cancelled: "the caller went away",
+    NodeStopping: "the node stops",
     Silent: "the connection was silent",
 };
 
-/**
- * Sets the reason of a request that was aborted before it was sent to `DeadlinePassed` if its deadline caused the
- * abort.
- */
+/** Reasons of refusals for requests that were aborted before they were sent, if not `Cancelled`. */
+const UNSENT_REASONS: Readonly<Partial<Record<EndReason, RefusalReason>>> = {
+    DeadlinePassed: "DeadlinePassed",
+    NodeStopping: "Draining",
+};
+
+/** Sets the reason of a request that was aborted before it was sent, unless its caller disconnected. */
 const applyEndReason = (outcome: Outcome, endReason: EndReason): Outcome => {
     const isUnsent = either.isLeft(outcome) && outcome.left.kind === "Refused";
-    return isUnsent && endReason === "DeadlinePassed" ?
-        either.left({ kind: "Refused", verdict: "notRun", reason: "DeadlinePassed", retryAfterMs: 0 }) :
+    const reason = UNSENT_REASONS[endReason];
+    return isUnsent && reason !== undefined ?
+        either.left({ kind: "Refused", verdict: "notRun", reason, retryAfterMs: 0 }) :
         outcome;
 };
 
@@ -158,6 +164,7 @@
         }
     };
     const cancel = (): void => end("Cancelled");
+    const onAbort = (): void => end(getAbortCause(signal) === "NodeStopping" ? "NodeStopping" : "Cancelled");
     const onInactivity = (lateMs: Milliseconds): void => {
         const now = clock.monotonic();
         const isLost = now - lastHeartbeatAt >= lossMs;
@@ -201,15 +208,15 @@
             request.onHeartbeat?.();
         },
     });
-    signal.addEventListener("abort", cancel, { once: true });
+    signal.addEventListener("abort", onAbort, { once: true });
     if (signal.aborted) {
-        cancel();
+        onAbort();
     }
 
     const outcome = exchange.outcome.then((settled) => {
         hasEnded = true;
         monitor.stop();
-        signal.removeEventListener("abort", cancel);
+        signal.removeEventListener("abort", onAbort);
         return applyEndReason(settled, endReason);
     });
     return { outcome, cancel, silence: inactivity, hasEnded: () => hasEnded, isPointless: () => isPointless };
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -13,6 +13,7 @@
 import type { Dialects } from "./http/dialect.js";
 import type { HandleArrival } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
+import type { OpenRequestsByPoint } from "./stopLog.js";
 import type { LocalTargetManager } from "./target/localTargetManager.js";
 
 export interface RequestPathDependencies {
@@ -49,8 +50,8 @@
     readonly handleGate: HandleArrival;
     /** Handles requests from callers. */
     readonly handleGateway: HandleArrival;
-    /** Aborts all requests of callers that are in flight, so that each caller receives a final response. */
-    readonly abortAll: () => void;
+    /** The requests of callers and of other nodes that are in flight. */
+    readonly openRequests: OpenRequestsByPoint;
     /** Returns whether another target of the local target's service accepts requests, or there is no local target. */
     readonly hasSubstitute: () => boolean;
     /** Whether the gateway can distinguish requests from the local target from those of other callers. */
--- a/packages/oleandergap-node/src/stopNode.ts
+++ b/packages/oleandergap-node/src/stopNode.ts
@@ -10,6 +10,7 @@
 import type { Milliseconds } from "oleandergap-types";
 import { destroyListeners, type NodeListeners } from "./listeners.js";
 import type { LifecycleDependencies } from "./nodeLifecycle.js";
+import { startStopLog, type StopLog } from "./stopLog.js";
 import { runStopStages } from "./stopStages.js";
 
 /** Time for sending the final responses to aborted requests: several iterations of a busy event loop. */
@@ -75,9 +76,11 @@
 const abortRemaining = async (
     { clock, logger, requestPath, signal }: LifecycleDependencies,
     listeners: NodeListeners,
+    stopLog: StopLog,
 ): Promise<void> => {
     logger.warn("The drain timeout has passed; the remaining requests are aborted.");
-    requestPath.abortAll();
+    stopLog.logAborted();
+    requestPath.openRequests.gateway.abortAll();
     await clock.sleep(FINAL_RESPONSE_MS, signal);
     const lateLimit = startTimeLimit(clock, LATE_RESPONSE_MS, signal);
     await listeners.gateway.drain(0, lateLimit.signal);
@@ -94,7 +97,9 @@
 
 /** Stops the node. Resolves when the process may end, at most `MAX_STOP_OVERRUN_MS` after the drain timeout. */
 export const stopNode = async (dependencies: LifecycleDependencies, listeners: NodeListeners): Promise<void> => {
-    const { options, clock, readiness, signal } = dependencies;
+    const { options, clock, logger, readiness, requestPath, signal } = dependencies;
+    const startedAt = clock.monotonic();
+    const stopLog = startStopLog(logger, requestPath.openRequests, () => clock.monotonic() - startedAt);
     // The limit's signal aborts at the drain timeout, or when `signal` aborts to stop everything immediately.
     const limit = startTimeLimit(clock, options.stop.drainTimeoutMs, signal);
     readiness.draining = true;
@@ -102,8 +107,10 @@
     // Some operations do not react to the signal, such as a call to a store that does not respond.
     await raceAbort(drainNode(dependencies, listeners, limit.signal), limit.signal, () => undefined);
     if (limit.hasExpired()) {
-        await abortRemaining(dependencies, listeners);
+        await abortRemaining(dependencies, listeners, stopLog);
     }
     limit.cancel();
+    stopLog.logCut();
+    stopLog.logSummary();
     await closeConnections(dependencies, listeners);
 };
