Stops: a repeated SIGTERM no longer ends a stop that is under way

Callers saw all requests of a stopping node end without a response, or in the middle of one, within 10 ms of a further SIGTERM. Cause: any second signal was taken for the order to stop immediately. Supervisors whose work overlaps (restarts in turn, a release) each signal the same process, and none of them means that. SIGTERM is now idempotent; SIGINT during a stop, which a person sends from a terminal, still ends it at once.

--- a/packages/oleandergap-node/src/runUntilSignal.ts
+++ b/packages/oleandergap-node/src/runUntilSignal.ts
@@ -22,6 +22,11 @@
     "No cluster.keyFile is set: anyone who can reach the control port can impersonate a node and drain targets.";
 
 const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+/**
+ * Signal that ends a stop that is under way, because a person sends it from a terminal. Supervisors repeat SIGTERM when
+ * the work of several of them overlaps, and none of them means that the requests in flight should be interrupted.
+ */
+const IMMEDIATE_STOP_SIGNAL = "SIGINT";
 
 /** Calls `onSignal` for each received signal that requests a stop. */
 const watchStopSignals = (onSignal: (name: string) => void): void => {
@@ -38,13 +43,17 @@
     const stopRequested = new AbortController();
 
     watchStopSignals((name) => {
-        if (stopRequested.signal.aborted) {
+        if (!stopRequested.signal.aborted) {
+            logger.info("Stopping.", { signal: name });
+            stopRequested.abort();
+        }
+        else if (name === IMMEDIATE_STOP_SIGNAL) {
             logger.warn("Received a second signal; stopping immediately.", { signal: name });
             abortController.abort();
-            return;
         }
-        logger.info("Stopping.", { signal: name });
-        stopRequested.abort();
+        else {
+            logger.info("Received another signal to stop; the stop continues.", { signal: name });
+        }
     });
 
     // Without a handler, SIGHUP would end the process. Changed settings take effect only after a restart.
