Node: the parts of a stop stand in a folder of their own

stopNode, stopStages and stopLog move to stop/, where the admission during a stop will join them. Moves and imports only; the build, lint and format check pass.

--- a/packages/oleandergap-node/src/__tests__/stopLog.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopLog.test.ts
@@ -4,7 +4,7 @@
 import type { LogContext, Logger } from "oleandergap-logger";
 import { createManualClock } from "oleandergap-utils";
 import { createOpenRequests, getAbortCause } from "../http/openRequests.js";
-import { startStopLog } from "../stopLog.js";
+import { startStopLog } from "../stop/stopLog.js";
 import { createCleanup, LOOPBACK, sendHttpRequest, waitUntil } from "./support.js";
 
 interface LoggedLine {
--- a/packages/oleandergap-node/src/__tests__/stopStages.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopStages.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createManualClock } from "oleandergap-utils";
-import { runStopStages } from "../stopStages.js";
+import { runStopStages } from "../stop/stopStages.js";
 
 const STOP = { serveMs: 1500, serveLongestMs: 3500, acceptMs: 2300, lingerMs: 500, drainTimeoutMs: 5600 };
 
--- a/packages/oleandergap-node/src/index.ts
+++ b/packages/oleandergap-node/src/index.ts
@@ -3,7 +3,7 @@
 export * from "./createNode.js";
 export * from "./options.js";
 export * from "./runUntilSignal.js";
-export { MAX_STOP_OVERRUN_MS } from "./stopNode.js";
+export { MAX_STOP_OVERRUN_MS } from "./stop/stopNode.js";
 export type { Readiness } from "./admin/readiness.js";
 export { readJson, readOptionalJson } from "./admin/readJson.js";
 export { readResponseHeader, type ResponseHeaders } from "./http/upstreamResponse.js";
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -20,7 +20,7 @@
 import type { ListenerDefinition } from "./adapters.js";
 import { destroyListeners, startNodeListeners, type NodeHandlers, type NodeListeners } from "./listeners.js";
 import type { NodeOptions } from "./options.js";
-import { stopNode } from "./stopNode.js";
+import { stopNode } from "./stop/stopNode.js";
 
 export interface LifecycleDependencies {
     readonly options: NodeOptions;
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -13,7 +13,7 @@
 import type { Dialects } from "./http/dialect.js";
 import type { HandleArrival } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
-import type { OpenRequestsByPoint } from "./stopLog.js";
+import type { OpenRequestsByPoint } from "./stop/stopLog.js";
 import type { LocalTargetManager } from "./target/localTargetManager.js";
 
 export interface RequestPathDependencies {
--- a/packages/oleandergap-node/src/stopLog.ts
+++ b/packages/oleandergap-node/src/stop/stopLog.ts
@@ -1,8 +1,8 @@
 /** Logs what becomes of the requests of a stopping node. */
 import type { LogContext, Logger } from "oleandergap-logger";
 import type { Milliseconds } from "oleandergap-types";
-import type { ServedAt } from "./admin/metrics.js";
-import type { OpenRequest, OpenRequestCounts, OpenRequests } from "./http/openRequests.js";
+import type { ServedAt } from "../admin/metrics.js";
+import type { OpenRequest, OpenRequestCounts, OpenRequests } from "../http/openRequests.js";
 
 /** Maximum number of lines at one moment for the requests of one listener. */
 const MAX_LISTED_REQUESTS = 100;
--- a/packages/oleandergap-node/src/stopNode.ts
+++ b/packages/oleandergap-node/src/stop/stopNode.ts
@@ -8,8 +8,8 @@
  */
 import { describeError, raceAbort, startTimeLimit } from "oleandergap-utils";
 import type { Milliseconds } from "oleandergap-types";
-import { destroyListeners, type NodeListeners } from "./listeners.js";
-import type { LifecycleDependencies } from "./nodeLifecycle.js";
+import { destroyListeners, type NodeListeners } from "../listeners.js";
+import type { LifecycleDependencies } from "../nodeLifecycle.js";
 import { startStopLog, type StopLog } from "./stopLog.js";
 import { runStopStages } from "./stopStages.js";
 
--- a/packages/oleandergap-node/src/stopStages.ts
+++ b/packages/oleandergap-node/src/stop/stopStages.ts
@@ -8,7 +8,7 @@
  * admitted requests have finished when callers are refused.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
-import type { NodeOptions } from "./options.js";
+import type { NodeOptions } from "../options.js";
 
 /** Interval between two checks for another target. */
 const POLL_INTERVAL_MS: Milliseconds = 50;
