Stops: a node refuses what it cannot finish before its stop ends

Callers that still used their connections got a 502, or a response that broke off, 5.1 s after the signal to stop, for requests that they had sent 3.0 to 3.5 s after it: a target was at work on them. Cause: the stages of a stop and the drain timeout were independent timers. Callers were accepted until the local gate was empty, up to 3.5 s, and whatever was left was given up after 5.1 s; nothing compared what a request takes with what was left.

The node now knows from the start of the stop when the remaining requests are aborted. It accepts a request if its deadline comes before that time, or if the longest of the latest 64 requests of its route fits into what is left; after stop.acceptMs only the first counts, as it needs no estimate. The calls of a local target that cannot be told from callers have short deadlines, so they are accepted for longer than before (4.0 s instead of 3.5 s with deadlines of 1.1 s), and callers need no longer be accepted for their sake.

Replaced: stopStages' test "accepts callers until the gate is empty ..." and readiness' "refuses callers of a stopping node, but not its local target", whose stage and function are gone, by stopAdmission.test.ts, which holds the calls of the local target until the end of the stop.

--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -103,6 +103,8 @@
         }),
         createRequestContainment: createRequestContainment(options.containment ?? createIsolatedContainment(clock)),
         closed,
+        findStopRefusal: () => undefined,
+        recordDuration: () => undefined,
         findCallingService: () => undefined,
         maxBodyBytes: options.maxBodyBytes ?? 64 * 1024 * 1024,
         recordUnserved: () => undefined,
--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -95,7 +95,6 @@
                 claimSweeper: { start: resolveImmediately },
                 pools: { sweep: () => undefined, destroy: destroyPools },
                 hasSubstitute: () => true,
-                canIdentifyLocalTarget: false,
                 openRequests: {
                     gate: createOpenRequests(clock),
                     gateway: {
--- a/packages/oleandergap-node/src/__tests__/readiness.test.ts
+++ b/packages/oleandergap-node/src/__tests__/readiness.test.ts
@@ -9,19 +9,11 @@
         const random = createSeededRandom(4);
         const state = createReadinessState();
         const times = Array.from({ length: 700 }, () =>
-            findAdmissionRefusal(state, false, 200, random)?.retryAfterMs ?? 0);
+            findAdmissionRefusal(state, random)?.retryAfterMs ?? 0);
         expect(Math.min(...times)).to.be.within(300, 350);
         expect(Math.max(...times)).to.be.within(950, 1000);
         const busiest = Math.max(...Array.from({ length: 10 }, (_, slice) =>
             times.filter((time) => Math.floor(time / 100) === slice).length));
         expect(busiest).to.be.below(150);
     });
-
-    it("refuses callers of a stopping node, but not its local target", () => {
-        const state = { ...createReadinessState(), recovered: true, refusing: true };
-        const random = createSeededRandom(4);
-        expect(findAdmissionRefusal(state, false, 200, random)).to.deep.equal({ reason: "Draining", retryAfterMs: 200 });
-        expect(findAdmissionRefusal(state, true, 200, random)).to.equal(undefined);
-        expect(findAdmissionRefusal({ ...state, refusing: false }, false, 200, random)).to.equal(undefined);
-    });
 });
--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/stopAdmission.test.ts
@@ -0,0 +1,101 @@
+import { expect } from "chai";
+import type { Milliseconds } from "oleandergap-types";
+import { createManualClock } from "oleandergap-utils";
+import { createStopAdmission, findStopRefusal, type StopAdmission } from "../stop/stopAdmission.js";
+
+const DRAIN_MS: Milliseconds = 5100;
+const ASSUMED_MS: Milliseconds = 2550;
+const DRAINING = { reason: "Draining", retryAfterMs: 200 };
+const KIND = "read";
+
+describe("the admission of requests to a stopping node", () => {
+    interface Harness {
+        readonly clock: ReturnType<typeof createManualClock>;
+        readonly admission: StopAdmission;
+        readonly stop: () => void;
+        /** Returns the decision of a gateway on a request whose deadline is `timeoutMs` from now. */
+        readonly decide: (timeoutMs: Milliseconds, isRefusing?: boolean, isLocalTarget?: boolean) => unknown;
+    }
+
+    const createHarness = (): Harness => {
+        const clock = createManualClock();
+        let endsAt: Milliseconds | undefined;
+        const admission = createStopAdmission({ clock, endsAt: () => endsAt, assumedDurationMs: ASSUMED_MS });
+        return {
+            clock,
+            admission,
+            stop: () => {
+                endsAt = clock.monotonic() + DRAIN_MS;
+            },
+            decide: (timeoutMs, isRefusing = false, isLocalTarget = false) => findStopRefusal(
+                { isRefusing, isLocalTarget, retryAfterMs: DRAINING.retryAfterMs },
+                admission,
+                { kind: KIND, deadline: clock.monotonic() + timeoutMs },
+            ),
+        };
+    };
+
+    const recordDurations = ({ admission }: Harness, durations: readonly Milliseconds[]): void =>
+        durations.forEach((duration) => admission.recordDuration(KIND, duration));
+
+    it("accepts every request while the node is not stopping", () => {
+        const harness = createHarness();
+        recordDurations(harness, Array.from({ length: 10 }, () => 60_000));
+        expect(harness.decide(600_000)).to.equal(undefined);
+    });
+
+    it("refuses a request if the longest of the latest ones took longer than what is left", async () => {
+        const harness = createHarness();
+        recordDurations(harness, [100, 100, 100, 3000, 100, 100, 100, 100]);
+        harness.stop();
+        await harness.clock.advance(2000);
+        expect(harness.decide(8000)).to.equal(undefined);
+        await harness.clock.advance(200);
+        expect(harness.decide(8000)).to.deep.equal(DRAINING);
+    });
+
+    it("forgets a long duration after many shorter ones", async () => {
+        const harness = createHarness();
+        recordDurations(harness, [5000, ...Array.from({ length: 64 }, () => 100)]);
+        harness.stop();
+        await harness.clock.advance(2200);
+        expect(harness.decide(8000)).to.equal(undefined);
+    });
+
+    it("assumes a duration for a kind with few samples", async () => {
+        const harness = createHarness();
+        recordDurations(harness, [10, 10]);
+        harness.stop();
+        await harness.clock.advance(2500);
+        expect(harness.decide(8000)).to.equal(undefined);
+        await harness.clock.advance(100);
+        expect(harness.decide(8000)).to.deep.equal(DRAINING);
+    });
+
+    it("accepts a request whose deadline comes before the end of the stop, however long such requests take", async () => {
+        const harness = createHarness();
+        recordDurations(harness, Array.from({ length: 10 }, () => 4000));
+        harness.stop();
+        await harness.clock.advance(3000);
+        expect(harness.decide(2100)).to.equal(undefined);
+        expect(harness.decide(2101)).to.deep.equal(DRAINING);
+    });
+
+    // Guards against failing runs at the target of a stopping node that cannot distinguish its target from other
+    // callers: with callers, the calls of the running requests were refused too.
+    it("accepts calls with short deadlines until the end, also if they might come from other callers", async () => {
+        const harness = createHarness();
+        recordDurations(harness, Array.from({ length: 10 }, () => 20));
+        harness.stop();
+        await harness.clock.advance(4400);
+        expect(harness.decide(600, true)).to.equal(undefined);
+        expect(harness.decide(5000, true)).to.deep.equal(DRAINING);
+    });
+
+    it("accepts all requests of the local target if it can be identified", async () => {
+        const harness = createHarness();
+        harness.stop();
+        await harness.clock.advance(5000);
+        expect(harness.decide(5000, true, true)).to.equal(undefined);
+    });
+});
--- a/packages/oleandergap-node/src/__tests__/stopStages.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopStages.test.ts
@@ -25,7 +25,6 @@
                 return gate;
             },
             refuseCallers: note("callers refused"),
-            canIdentifyLocalTarget: true,
         };
         const stopped = runStopStages(clock, STOP, stages, new AbortController().signal).then(note("stopped"));
         await clock.advance(3000);
@@ -43,7 +42,6 @@
             hasSubstitute: () => false,
             closeGate: async () => events.push("gate closed"),
             refuseCallers: () => events.push("callers refused"),
-            canIdentifyLocalTarget: true,
         };
         const stopped = runStopStages(clock, STOP, stages, limit.signal);
         limit.abort();
@@ -62,32 +60,10 @@
             hasSubstitute: () => clock.monotonic() - startedAt >= substituteAfterMs,
             closeGate: async () => closeTimes.push(clock.monotonic() - startedAt),
             refuseCallers: () => undefined,
-            canIdentifyLocalTarget: true,
         }, new AbortController().signal);
         const all = Promise.all([run(0), run(2600), run(60_000)]);
         await clock.advance(6000);
         await all;
         expect(closeTimes).to.deep.equal([1500, 2600, 3500]);
     });
-
-    // Guards against failing runs at the target of a stopping node that cannot distinguish its target from other
-    // callers. If callers are refused at a fixed time while the gate still serves, the calls of the running requests
-    // are refused too: two thirds of the runs failed in the last second of the gate.
-    it("accepts callers until the gate is empty if it cannot distinguish the target from them", async () => {
-        const clock = createManualClock();
-        const startedAt = clock.monotonic();
-        const refusedAt: number[] = [];
-        const { signal } = new AbortController();
-        const run = (hasSubstitute: boolean, drainMs: number): Promise<void> => runStopStages(clock, STOP, {
-            hasSubstitute: () => hasSubstitute,
-            closeGate: () => clock.sleep(drainMs, signal),
-            refuseCallers: () => refusedAt.push(clock.monotonic() - startedAt),
-            canIdentifyLocalTarget: false,
-        }, signal);
-        // The gate closes at 1500 and is empty at 1700 and 3200; without a substitute it closes at 3500.
-        const all = Promise.all([run(true, 200), run(true, 1700), run(false, 400)]);
-        await clock.advance(8000);
-        await all;
-        expect(refusedAt).to.deep.equal([2300, 3200, 3500]);
-    });
 });
--- a/packages/oleandergap-node/src/admin/readiness.ts
+++ b/packages/oleandergap-node/src/admin/readiness.ts
@@ -9,8 +9,10 @@
     recovered: boolean;
     /** The node is stopping; no new requests should be sent to it. */
     draining: boolean;
-    /** The node refuses requests that arrive while it is stopping. */
+    /** Callers have had time to switch to other nodes. The node now refuses their requests. */
     refusing: boolean;
+    /** Monotonic time at which the remaining requests are aborted; undefined if the node is not stopping. */
+    endsAt: Milliseconds | undefined;
 }
 
 export interface Readiness {
@@ -20,7 +22,7 @@
 }
 
 export const createReadinessState = (): ReadinessState =>
-    ({ listening: false, recovered: false, draining: false, refusing: false });
+    ({ listening: false, recovered: false, draining: false, refusing: false, endsAt: undefined });
 
 export const describeReadiness = (state: ReadinessState): Readiness => {
     const reasons: string[] = [];
@@ -51,18 +53,10 @@
  */
 const RECOVERY_RETRY_SPREAD_MS: Milliseconds = 700;
 
-/**
- * Returns why the node does not accept a request; undefined if it accepts the request. A stopping node still accepts
- * requests from its local target, which may need to call other services to finish its requests in flight.
- */
+/** Returns why the node accepts no requests at all; undefined if it accepts requests. */
 export const findAdmissionRefusal = (
     state: Readonly<ReadinessState>,
-    isLocalTarget: boolean,
-    lingerMs: Milliseconds,
     random: Random,
-): AdmissionRefusal | undefined => {
-    if (!state.recovered) {
-        return { reason: "NotReady", retryAfterMs: RECOVERY_RETRY_AFTER_MS + RECOVERY_RETRY_SPREAD_MS * random() };
-    }
-    return state.refusing && !isLocalTarget ? { reason: "Draining", retryAfterMs: lingerMs } : undefined;
-};
+): AdmissionRefusal | undefined => state.recovered ?
+    undefined :
+    { reason: "NotReady", retryAfterMs: RECOVERY_RETRY_AFTER_MS + RECOVERY_RETRY_SPREAD_MS * random() };
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -51,6 +51,5 @@
         handleGateway,
         openRequests,
         hasSubstitute: localService.hasSubstitute,
-        canIdentifyLocalTarget: dependencies.callerService === undefined,
     };
 };
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -20,6 +20,7 @@
 import type { OpenRequests } from "../http/openRequests.js";
 import type { EventLoopLagMonitor } from "../http/eventLoopLag.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
+import { createNodeStopAdmission, findStopRefusal } from "../stop/stopAdmission.js";
 import { createCallerServiceLookup } from "../target/localService.js";
 import type { LocalTargetManager } from "../target/localTargetManager.js";
 import { createElapsedWaitEstimator } from "./elapsedWaitEstimator.js";
@@ -99,6 +100,7 @@
 export const createGatewayPath = (dependencies: RequestPathDependencies, parts: GatewayPathParts): HandleArrival => {
     const { options, clock, random, createPartLogger, metrics } = dependencies;
     const { requests } = options;
+    const stopAdmission = createNodeStopAdmission(dependencies);
     return createGatewayHandler({
         clock,
         logger: createPartLogger("gateway"),
@@ -120,13 +122,13 @@
         send: createSender(dependencies, parts),
         createRequestContainment: createRequestContainment(dependencies.containment),
         catchUp: parts.catchUp,
-        closed: (callingService) =>
-            findAdmissionRefusal(
-                dependencies.readiness,
-                callingService !== undefined && dependencies.callerService === undefined,
-                options.stop.lingerMs,
-                random,
-            ),
+        closed: () => findAdmissionRefusal(dependencies.readiness, random),
+        findStopRefusal: (request, callingService) => findStopRefusal({
+            isRefusing: dependencies.readiness.refusing,
+            isLocalTarget: callingService !== undefined && dependencies.callerService === undefined,
+            retryAfterMs: options.stop.lingerMs,
+        }, stopAdmission, request),
+        recordDuration: stopAdmission.recordDuration,
         findCallingService: createCallerServiceLookup(dependencies, parts.target),
         maxBodyBytes: requests.maxBodyBytes,
         recordUnserved: parts.recordUnserved,
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as either from "fp-ts/lib/Either.js";
+import type { Either } from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
 import type { TargetMember } from "oleandergap-membership";
 import type { AttemptedTarget, RequestRouter } from "oleandergap-routing";
@@ -52,11 +53,18 @@
     readonly createRequestContainment: CreateRequestContainment;
     /** See `EventLoopLagMonitor`. */
     readonly catchUp?: () => Promise<void> | undefined;
+    /** Returns the reason why no request is currently accepted; undefined if requests are accepted. */
+    readonly closed: () => AdmissionRefusal | undefined;
     /**
-     * Returns the reason why a request from this calling service, or from an unknown caller, is currently not accepted;
-     * undefined if it is accepted.
+     * Returns the reason why a stopping node does not accept this request from this calling service, or from an unknown
+     * caller; undefined if it is accepted.
      */
-    readonly closed: (callingService: ServiceReference | undefined) => AdmissionRefusal | undefined;
+    readonly findStopRefusal: (
+        request: CallerRequest,
+        callingService: ServiceReference | undefined,
+    ) => AdmissionRefusal | undefined;
+    /** Records how long a request of a kind took until its response was written. */
+    readonly recordDuration: (kind: string, duration: Milliseconds) => void;
     /**
      * Returns the service of this node's target if `address` is the target's address, so that the caller is that
      * service.
@@ -104,6 +112,25 @@
     isRetried: false,
 });
 
+/** Parses the head of the request with the tables that are now in force, and refuses it if the node stops too soon. */
+const readHead = (
+    { view, dialect, chooseService, estimateElapsedWait, findStopRefusal }: GatewayHandlerDependencies,
+    state: RequestState,
+): Either<RequestFailure, CallerRequest> => {
+    const { receivedAt } = state.arrival;
+    const context = { receivedAt, view: view(), dialect, chooseService, estimateElapsedWait };
+    const caller = readCallerRequest(context, state.request);
+    if (either.isLeft(caller)) {
+        return caller;
+    }
+    state.caller = caller.right;
+    state.deadline = caller.right.deadline;
+    const stopRefusal = findStopRefusal(caller.right, state.callingService);
+    return stopRefusal === undefined ?
+        caller :
+        either.left({ kind: "Refused", verdict: "notRun", ...stopRefusal });
+};
+
 /** Timers may fire earlier than due by this time. */
 const TIMER_TOLERANCE_MS = 2;
 
@@ -187,25 +214,22 @@
         state.isRetried = retriedDownstream;
         const duration = clock.monotonic() - state.startedAt;
         dependencies.countRequest({ kind: "Answered", statusCode: answer.statusCode }, duration, caller.kind);
+        state.response.once("finish", () =>
+            dependencies.recordDuration(caller.kind, clock.monotonic() - state.startedAt));
         writeResponse(state.response, answer, describeResponse(state, "ran"));
     };
 
     const handle = async (state: RequestState): Promise<void> => {
-        const admissionRefusal = dependencies.closed(state.callingService);
+        const admissionRefusal = dependencies.closed();
         if (admissionRefusal !== undefined) {
             refuse(state, { kind: "Refused", verdict: "notRun", ...admissionRefusal });
             return;
         }
-        const { chooseService, estimateElapsedWait } = dependencies;
-        const { receivedAt } = state.arrival;
-        const context = { receivedAt, view: dependencies.view(), dialect, chooseService, estimateElapsedWait };
-        const caller = readCallerRequest(context, state.request);
+        const caller = readHead(dependencies, state);
         if (either.isLeft(caller)) {
             refuse(state, caller.left);
             return;
         }
-        state.caller = caller.right;
-        state.deadline = caller.right.deadline;
         const received = receiveBody(state.request, {
             clock,
             maxBytes: dependencies.maxBodyBytes,
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -54,6 +54,4 @@
     readonly openRequests: OpenRequestsByPoint;
     /** Returns whether another target of the local target's service accepts requests, or there is no local target. */
     readonly hasSubstitute: () => boolean;
-    /** Whether the gateway can distinguish requests from the local target from those of other callers. */
-    readonly canIdentifyLocalTarget: boolean;
 }
--- /dev/null
+++ b/packages/oleandergap-node/src/stop/stopAdmission.ts
@@ -0,0 +1,92 @@
+/**
+ * Decides whether a stopping node can still finish a request that it accepts now.
+ *
+ * The remaining requests are aborted at a time that is known from the start of the stop. A request that is likely to
+ * run longer is refused instead: its caller learns at once that it has not run, and may send it to another node. If it
+ * was accepted, its target would be interrupted, and a request that is not idempotent could not be sent again.
+ */
+import type { Clock, Milliseconds } from "oleandergap-types";
+import type { AdmissionRefusal } from "../admin/readiness.js";
+import type { RequestPathDependencies } from "../requestPathTypes.js";
+import { createLongestDurations, type LongestDurations } from "./longestDurations.js";
+
+/** A request that may be accepted. */
+export interface StoppableRequest {
+    /** Name of the route, or empty. Requests of one kind take about the same time. */
+    readonly kind: string;
+    /** Monotonic time. */
+    readonly deadline: Milliseconds;
+}
+
+export interface StopAdmissionDependencies {
+    readonly clock: Clock;
+    /** Returns the monotonic time at which the remaining requests are aborted; undefined unless the node stops. */
+    readonly endsAt: () => Milliseconds | undefined;
+    /** Assumed duration of a kind of which too few requests have been served. */
+    readonly assumedDurationMs: Milliseconds;
+}
+
+export interface StopAdmission {
+    /** Returns whether the request ends before the remaining requests are aborted, whatever its target does. */
+    readonly endsInTime: (request: StoppableRequest) => boolean;
+    /** Returns whether the request is likely to end before the remaining requests are aborted. */
+    readonly canFinish: (request: StoppableRequest) => boolean;
+    /** Records how long a request took from its admission to the end of its response. */
+    readonly recordDuration: LongestDurations["record"];
+}
+
+/** Creates the decision for the requests that pass one point of a node. */
+export const createStopAdmission = (
+    { clock, endsAt, assumedDurationMs }: StopAdmissionDependencies,
+): StopAdmission => {
+    const longestDurations = createLongestDurations();
+    const endsInTime = ({ deadline }: StoppableRequest): boolean =>
+        deadline <= (endsAt() ?? Number.POSITIVE_INFINITY);
+    return {
+        endsInTime,
+        canFinish: (request) => {
+            const leftMs = (endsAt() ?? Number.POSITIVE_INFINITY) - clock.monotonic();
+            return endsInTime(request) || (longestDurations.find(request.kind) ?? assumedDurationMs) <= leftMs;
+        },
+        recordDuration: longestDurations.record,
+    };
+};
+
+/** Assumed duration, as a part of the drain timeout. Requests of unknown kinds are accepted in the first half. */
+const ASSUMED_DURATION_PART = 0.5;
+
+/** Creates the decision for the requests that pass one point of this node. */
+export const createNodeStopAdmission = (
+    { options, clock, readiness }: Pick<RequestPathDependencies, "options" | "clock" | "readiness">,
+): StopAdmission => createStopAdmission({
+    clock,
+    endsAt: () => readiness.endsAt,
+    assumedDurationMs: options.stop.drainTimeoutMs * ASSUMED_DURATION_PART,
+});
+
+/** State of a gateway that decides on a request of a caller. */
+export interface GatewayStopState {
+    /** Callers have had time to switch to other nodes. */
+    readonly isRefusing: boolean;
+    /** Whether the local target is known to be the caller. It may need the call to finish its requests in flight. */
+    readonly isLocalTarget: boolean;
+    /** Retry delay of a refusal. */
+    readonly retryAfterMs: Milliseconds;
+}
+
+/**
+ * Returns why a gateway does not accept a request; undefined if it accepts the request.
+ *
+ * Where the local target cannot be told from other callers, its calls are among the requests that arrive after callers
+ * have switched. Refusing all of them would fail the requests that the target is still running. Those that end in time
+ * in any case are therefore accepted from everybody.
+ */
+export const findStopRefusal = (
+    { isRefusing, isLocalTarget, retryAfterMs }: GatewayStopState,
+    admission: StopAdmission,
+    request: StoppableRequest,
+): AdmissionRefusal | undefined => {
+    const isAccepted = isLocalTarget ||
+        (isRefusing ? admission.endsInTime(request) : admission.canFinish(request));
+    return isAccepted ? undefined : { reason: "Draining", retryAfterMs };
+};
--- a/packages/oleandergap-node/src/stop/stopNode.ts
+++ b/packages/oleandergap-node/src/stop/stopNode.ts
@@ -46,7 +46,6 @@
         refuseCallers: () => {
             readiness.refusing = true;
         },
-        canIdentifyLocalTarget: requestPath.canIdentifyLocalTarget,
     }, signal);
 };
 
@@ -103,6 +102,7 @@
     // The limit's signal aborts at the drain timeout, or when `signal` aborts to stop everything immediately.
     const limit = startTimeLimit(clock, options.stop.drainTimeoutMs, signal);
     readiness.draining = true;
+    readiness.endsAt = startedAt + options.stop.drainTimeoutMs;
     listeners.gateway.announceClose();
     // Some operations do not react to the signal, such as a call to a store that does not respond.
     await raceAbort(drainNode(dependencies, listeners, limit.signal), limit.signal, () => undefined);
--- a/packages/oleandergap-node/src/stop/stopStages.ts
+++ b/packages/oleandergap-node/src/stop/stopStages.ts
@@ -4,8 +4,7 @@
  * Callers keep sending requests until two readiness checks have reported that the node is not ready. The target on the
  * VM keeps running when its node restarts. If the gate closed at the stop signal, that target would be idle while
  * callers are still accepted. A service with four targets would lose a quarter of its capacity for these seconds at
- * each restart, and the other targets would refuse requests. The gate therefore closes later, but early enough that the
- * admitted requests have finished when callers are refused.
+ * each restart, and the other targets would refuse requests. The gate therefore closes later.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 import type { NodeOptions } from "../options.js";
@@ -19,23 +18,15 @@
     readonly hasSubstitute: () => boolean;
     /** Announces the stop to other nodes and closes the gate. Resolves when the gate is empty or the time is over. */
     readonly closeGate: () => Promise<unknown>;
-    /** Starts to refuse requests from callers. */
+    /** Starts to refuse requests from callers; see `findStopRefusal`. */
     readonly refuseCallers: () => void;
-    /**
-     * Whether the gateway can distinguish requests from the local target from those of other callers, so that it
-     * accepts the target's requests until the end. If not, callers are refused only when the gate is empty. Otherwise,
-     * the calls of requests that are still running at the target would be refused too, and these requests would fail.
-     * Callers are refused after `serveLongestMs` in any case, because requests accepted later might be interrupted with
-     * the process.
-     */
-    readonly canIdentifyLocalTarget: boolean;
 }
 
 /** Runs the stages. Resolves when the last stage is over, or earlier if `signal` aborts. */
 export const runStopStages = async (
     clock: Clock,
     { serveMs, serveLongestMs, acceptMs, lingerMs }: NodeOptions["stop"],
-    { hasSubstitute, closeGate, refuseCallers, canIdentifyLocalTarget }: StopStages,
+    { hasSubstitute, closeGate, refuseCallers }: StopStages,
     signal: AbortSignal,
 ): Promise<void> => {
     const startedAt = clock.monotonic();
@@ -56,15 +47,10 @@
         await waitForSubstitute();
         await closeGate();
     };
-    const closeGateway = async (targetClosed: Promise<void>): Promise<void> => {
+    const closeGateway = async (): Promise<void> => {
         await clock.sleep(acceptMs, signal);
-        if (!canIdentifyLocalTarget) {
-            const remainingMs = Math.max(0, serveLongestMs - (clock.monotonic() - startedAt));
-            await Promise.race([targetClosed, clock.sleep(remainingMs, signal)]);
-        }
         refuseCallers();
         await clock.sleep(lingerMs, signal);
     };
-    const targetClosed = closeTarget();
-    await Promise.all([targetClosed, closeGateway(targetClosed)]);
+    await Promise.all([closeTarget(), closeGateway()]);
 };
