Stops: a stopping gate admits only what it can finish

Where both nodes of a hop stop, callers got a 502 or a 200 that breaks off in the middle, 3.1 s after the signal to the node that took the request. Cause: the gate beside the target admitted requests for 1.9 s (3.5 s without another target) by a timer of its own, whatever they take, and its node closed their connections 5.25 s after its own signal. The node that took the request cannot know that, and gave nothing up itself.

The gate now decides as the gateway does: by the request's deadline, or by the longest of the latest 64 runs of the route at its target, before and after the wait for a slot. What does not fit is refused, unrun, as StopTooSoon: the gateway sends it to another target, takes no retry token and does not eject this one, which still serves shorter requests. On the wire the reason is Draining with one header more, so that older nodes read a refusal.

--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -19,6 +19,7 @@
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
 import { startListener, type HandleArrival, type Listener, type ListenerOptions } from "../http/listener.js";
 import { defaultDialects } from "../http/dialect.js";
+import type { StopAdmission } from "../stop/stopAdmission.js";
 import { describeFeedback } from "../target/localTarget.js";
 import { createLocalTargetManager, type LocalTargetManager } from "../target/localTargetManager.js";
 
@@ -249,6 +250,7 @@
      */
     readonly catchUp?: () => Promise<void> | undefined;
     readonly turns?: ListenerOptions["turns"];
+    readonly stopAdmission?: StopAdmission;
 }
 
 const COLD_START_MS = 10_000;
@@ -290,6 +292,7 @@
         }),
         rolloutObserver: createRolloutObserver({ clock, rollouts, coldStartMs: COLD_START_MS }),
         catchUp,
+        ...options.stopAdmission === undefined ? {} : { stopAdmission: options.stopAdmission },
     }));
     const listener = await startTestListener(cleanup, clock, createGateHandler({
         clock,
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -10,6 +10,7 @@
 import type { EventLoopLagMonitor } from "../http/eventLoopLag.js";
 import { toRequestResult } from "../http/requestResult.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
+import { createNodeStopAdmission } from "../stop/stopAdmission.js";
 import { findServiceRow, type LocalService } from "../target/localService.js";
 import { describeFeedback } from "../target/localTarget.js";
 import { createLocalTargetManager, type LocalTargetManager } from "../target/localTargetManager.js";
@@ -120,6 +121,7 @@
         isFailureExplained: isFailureExplained,
         observeRun: createTargetRunObserver({ clock, containment, createPartLogger, target }),
         rolloutObserver: createRolloutObserver({ clock, rollouts, coldStartMs: options.routing.picker.slowStartMs }),
+        stopAdmission: createNodeStopAdmission(dependencies),
         catchUp,
     });
     const serve = countGateRequests(clock, tally, createContainmentGuard(clock, containment, serveAtTarget));
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -6,9 +6,10 @@
 import { isSameLifetime, type Milliseconds, type RequestFailure } from "oleandergap-types";
 import { observeBody, type UpstreamResponse } from "../http/upstreamResponse.js";
 import { FIRST_ERROR_STATUS } from "../http/requestResult.js";
+import type { StopAdmission } from "../stop/stopAdmission.js";
 import { isTargetOfService, type LocalTarget } from "../target/localTarget.js";
 import { createClaimedRun } from "./claimedRun.js";
-import type { ServeAtGate } from "./gateRequest.js";
+import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import type { RolloutObserver } from "./rolloutObserver.js";
 import type { ObserveRun } from "./runObserver.js";
 import { createTargetExchange, type TargetExchangeDependencies } from "./targetExchange.js";
@@ -25,6 +26,8 @@
     readonly isFailureExplained?: (startedAt: Milliseconds) => boolean;
     /** Observes the runs at the local target. If absent, crashes of the target are not attributed to requests. */
     readonly observeRun?: ObserveRun;
+    /** Refuses requests that a stopping node cannot finish. If absent, all are accepted until the gate closes. */
+    readonly stopAdmission?: StopAdmission;
     /** Takes part in roll-outs. If absent, no version is judged or stopped. */
     readonly rolloutObserver?: RolloutObserver;
     /**
@@ -42,6 +45,13 @@
     retryAfterMs: 1000,
 };
 
+const stopTooSoonRefusal: RequestFailure = {
+    kind: "Refused",
+    verdict: "notRun",
+    reason: "StopTooSoon",
+    retryAfterMs: 1000,
+};
+
 const cancelledRefusal: RequestFailure = { kind: "Refused", verdict: "notRun", reason: "Cancelled", retryAfterMs: 0 };
 
 const toReleaseOutcome = (failure: RequestFailure, signal: AbortSignal): ReleaseOutcome => {
@@ -52,15 +62,15 @@
 };
 
 /** Releases the slot when the response has been sent, was interrupted or was aborted, whichever happens first. */
-const releaseAtEnd = (response: UpstreamResponse, admission: Admission): UpstreamResponse => ({
+const releaseAtEnd = (response: UpstreamResponse, release: Admission["release"]): UpstreamResponse => ({
     ...response,
     body: observeBody(response.body, {
-        onFinish: (failure) => admission.release(failure === undefined ? "Answered" : "Lost"),
+        onFinish: (failure) => release(failure === undefined ? "Answered" : "Lost"),
     }),
 });
 
 export const createServeAtGate = (dependencies: ServeAtGateDependencies): ServeAtGate => {
-    const { clock, rolloutObserver } = dependencies;
+    const { clock, rolloutObserver, stopAdmission } = dependencies;
     const sendToTarget = createTargetExchange(dependencies);
 
     const markStarved = (outcome: Outcome, startedAt: Milliseconds): Outcome => {
@@ -75,6 +85,9 @@
         return createClaimedRun(dependencies, dependencies.observeRun?.(target, run) ?? run);
     };
 
+    const findRefusal = (target: LocalTarget, request: GateRequest): RequestFailure | undefined =>
+        stopAdmission?.canFinish(request) === false ? stopTooSoonRefusal : rolloutObserver?.findRefusal(target);
+
     return async (request) => {
         const target = dependencies.currentTarget();
         if (target === undefined || !isTargetOfService(target, request.service)) {
@@ -83,9 +96,9 @@
         if (request.knownFeedback !== undefined && isSameLifetime(request.knownFeedback, target.announcement)) {
             target.feedback.adopt(request.knownFeedback.feedback);
         }
-        const stoppedRefusal = rolloutObserver?.findRefusal(target);
-        if (stoppedRefusal !== undefined) {
-            return either.left(stoppedRefusal);
+        const refusal = findRefusal(target, request);
+        if (refusal !== undefined) {
+            return either.left(refusal);
         }
         const admission = await target.gate.admit({
             ...request.caller,
@@ -106,20 +119,26 @@
                 return either.left(cancelledRefusal);
             }
         }
-        // The version may have been stopped while the request waited.
-        const lateRefusal = rolloutObserver?.findRefusal(target);
+        // The version, or the node, may have been stopped while the request waited.
+        const lateRefusal = findRefusal(target, request);
         if (lateRefusal !== undefined) {
             admission.right.release("NotStarted");
             return either.left(lateRefusal);
         }
         request.onAdmitted();
         const startedAt = clock.monotonic();
+        const release: Admission["release"] = (outcome) => {
+            admission.right.release(outcome);
+            if (outcome !== "NotStarted") {
+                stopAdmission?.recordDuration(request.kind, clock.monotonic() - startedAt);
+            }
+        };
         const result = markStarved(await createTargetRun(target)(request), startedAt);
         const outcome = rolloutObserver?.observeOutcome(target, request, result, startedAt) ?? result;
         if (either.isLeft(outcome)) {
-            admission.right.release(toReleaseOutcome(outcome.left, request.signal));
+            release(toReleaseOutcome(outcome.left, request.signal));
             return outcome;
         }
-        return either.right(releaseAtEnd(outcome.right, admission.right));
+        return either.right(releaseAtEnd(outcome.right, release));
     };
 };
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -158,6 +158,9 @@
         const failureResponse = dialect.describeFailure(failure, context);
         writeFailure(state.response, failureResponse, describeResponse(state, failure.verdict));
         dependencies.countRequest({ kind: "Failed", failure }, now - state.startedAt, state.caller?.kind ?? "");
+        if (failure.verdict !== "notRun" && state.caller !== undefined) {
+            dependencies.recordDuration(state.caller.kind, now - state.startedAt);
+        }
         dependencies.logFailure({
             id: state.requestId,
             caller: state.caller,
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -53,6 +53,9 @@
 /** Response between nodes: the id of the target crash during which the request was lost. */
 export const CRASH_HEADER = "oleandergap-crash";
 
+/** Refusal of a gate: present if it applies only to this request, so that the gate still accepts others. */
+export const REQUEST_ONLY_HEADER = "oleandergap-request-only";
+
 /** Response between nodes: present if the target failed because an outgoing call that it made was not served. */
 export const STARVED_HEADER = "oleandergap-starved";
 
--- a/packages/oleandergap-node/src/http/refusal.ts
+++ b/packages/oleandergap-node/src/http/refusal.ts
@@ -12,7 +12,7 @@
     type RequestFailure,
 } from "oleandergap-types";
 import { readResponseHeader, type ResponseHeaders } from "./upstreamResponse.js";
-import { CRASH_HEADER } from "./headers.js";
+import { CRASH_HEADER, REQUEST_ONLY_HEADER } from "./headers.js";
 
 const MILLISECONDS_PER_SECOND = 1000;
 /** Maximum retry delay that is accepted from a target, in milliseconds. */
@@ -60,6 +60,11 @@
     }
 };
 
+/**
+ * Reason header of a refusal that applies only to this request, for nodes that do not know {@link REQUEST_ONLY_HEADER}.
+ */
+const REQUEST_ONLY_REASON: RefusalReason = "Draining";
+
 /** Returns the reason of a refusal, or the kind of any other failure. */
 export const reasonOfFailure = (failure: RequestFailure): string =>
     failure.kind === "Refused" ? failure.reason : failure.kind;
@@ -83,11 +88,13 @@
     const statusCode = context.statusCode ?? statusOfFailure(failure);
     const detail = getDetail(failure);
     const body = JSON.stringify({ verdict: failure.verdict, reason, retryAfterMs, detail });
+    const isRequestOnly = reason === "StopTooSoon";
     const headers: Record<string, string> = {
         "content-type": "application/json",
         "content-length": String(Buffer.byteLength(body)),
         [VERDICT_HEADER]: failure.verdict,
-        [REASON_HEADER]: reason,
+        [REASON_HEADER]: isRequestOnly ? REQUEST_ONLY_REASON : reason,
+        ...isRequestOnly ? { [REQUEST_ONLY_HEADER]: "yes" } : {},
     };
     if (failure.kind === "AnswerLost" && failure.crash !== undefined) {
         headers[CRASH_HEADER] = failure.crash;
@@ -121,7 +128,9 @@
     const refusal = refusalReasonSchema.safeParse(reason);
     const retryAfterMs = readRetryAfterMs(headers);
     if (refusal.success) {
-        return { kind: "Refused", verdict: "notRun", reason: refusal.data, retryAfterMs };
+        const isRequestOnly = refusal.data === REQUEST_ONLY_REASON &&
+            readResponseHeader(headers, REQUEST_ONLY_HEADER) !== undefined;
+        return { kind: "Refused", verdict: "notRun", reason: isRequestOnly ? "StopTooSoon" : refusal.data, retryAfterMs };
     }
     switch (reason) {
         case "ConnectFailed":
--- a/packages/oleandergap-routing/src/__tests__/ejection.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/ejection.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { RoutableTarget } from "../index.js";
+import type { AttemptOutcome, RoutableTarget } from "../index.js";
 import {
     answered,
     connectFailed,
@@ -46,6 +46,15 @@
         expect(harness.zone("hall-a")?.ejected).to.equal(0);
     });
 
+    it("keeps a target whose node refuses single requests because it stops too soon for them", async () => {
+        const harness = createSingleZoneHarness(6);
+        const refuseSome = ({ nodeId }: RoutableTarget): AttemptOutcome =>
+            nodeId === "hall-a-0" ? { kind: "Refused", reason: "StopTooSoon" } : answered;
+        await harness.send(100, refuseSome);
+        expect(harness.zone("hall-a")?.ejected).to.equal(0);
+        expect((await harness.send(400, refuseSome)).get("hall-a-0")).to.be.above(20);
+    });
+
     // Guards against a failed request per second for as long as a target is down, which happens if failed probes do not
     // increase the backoff.
     it("increases the interval between probes of a dead target", async () => {
--- a/packages/oleandergap-types/src/verdict.ts
+++ b/packages/oleandergap-types/src/verdict.ts
@@ -54,6 +54,7 @@
     "LimitReached",
     "TargetBusy",
     "Draining",
+    "StopTooSoon",
     "NotReady",
     "ClaimUnavailable",
     "Cancelled",
