Stops: requests of other nodes keep the rest of the time after the drain timeout

A run beside a stopping node was cut up to 0.25 s earlier than needed: after the drain timeout the node waited for its callers' final responses only, so that with no caller left the connections of other nodes were closed after 0.15 s instead of 0.4 s, of 0.9 s that the process has. It now waits for the responses of both within the same bound.

nodeLifecycle.test.ts "leaves requests of other nodes the rest of its time after the drain timeout" fails without the change and passes with it.

--- a/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
+++ b/packages/oleandergap-node/src/__tests__/nodeLifecycle.test.ts
@@ -40,6 +40,7 @@
         readonly clock: ReturnType<typeof createManualClock>;
         readonly node: NodeLifecycle;
         readonly gatewayPort: number;
+        readonly gatePort: number;
         readonly isStopped: () => boolean;
         readonly stop: () => void;
         /** Stops everything immediately, as a second signal does. */
@@ -120,6 +121,7 @@
             clock,
             node,
             gatewayPort,
+            gatePort,
             isStopped: () => isStopped,
             stop,
             abort: () => abortController.abort(),
@@ -128,9 +130,12 @@
     };
 
     /** Sends a request. Resolves when it is in flight, with a function that waits for its response. */
-    const startCall = async ({ gatewayPort, open }: Harness): Promise<() => Promise<ReceivedResponse>> => {
+    const startCall = async (
+        { gatewayPort, open }: Harness,
+        port = gatewayPort,
+    ): Promise<() => Promise<ReceivedResponse>> => {
         const previousCount = open.length;
-        const clientResponse = sendHttpRequest({ port: gatewayPort });
+        const clientResponse = sendHttpRequest({ port });
         clientResponse.catch(() => undefined);
         await waitUntil(() => open.length > previousCount);
         return () => clientResponse;
@@ -192,6 +197,18 @@
         expect(harness.isStopped()).to.equal(true);
     });
 
+    it("leaves requests of other nodes the rest of its time after the drain timeout", async () => {
+        const harness = await startNode({ stopTarget: neverResolve }, true, DRAIN_MS);
+        const clientResponse = await startCall(harness, harness.gatePort);
+        harness.stop();
+        await harness.clock.advance(DRAIN_MS + 390);
+        expect(harness.isStopped()).to.equal(false);
+        harness.open.splice(0).forEach((response) => response.writeHead(200).end());
+        expect((await clientResponse()).statusCode).to.equal(200);
+        await harness.clock.advance(MAX_STOP_OVERRUN_MS - 390);
+        expect(harness.isStopped()).to.equal(true);
+    });
+
     it("sends every caller a response if the process is late with its final responses", async () => {
         const harness = await startNode({ stopTarget: neverResolve }, true, 350);
         const clientResponse = await startCall(harness);
--- a/packages/oleandergap-node/src/stop/stopNode.ts
+++ b/packages/oleandergap-node/src/stop/stopNode.ts
@@ -15,7 +15,7 @@
 
 /** Time for sending the final responses to aborted requests: several iterations of a busy event loop. */
 const FINAL_RESPONSE_MS: Milliseconds = 150;
-/** Additional time if callers are still waiting for a final response because the event loop lags. */
+/** Additional time for responses that are not complete, of callers or of other nodes. */
 const LATE_RESPONSE_MS: Milliseconds = 250;
 /** Maximum wait for connections to close. They usually close within one or two iterations of the event loop. */
 const MAX_CLOSE_MS: Milliseconds = 100;
@@ -82,7 +82,7 @@
     requestPath.openRequests.gateway.abortAll();
     await clock.sleep(FINAL_RESPONSE_MS, signal);
     const lateLimit = startTimeLimit(clock, LATE_RESPONSE_MS, signal);
-    await listeners.gateway.drain(0, lateLimit.signal);
+    await Promise.all([listeners.gateway.drain(0, lateLimit.signal), listeners.gate.drain(0, lateLimit.signal)]);
     lateLimit.cancel();
 };
 
