Stops: callers no longer prolong a stop once the local target needs no calls

The admission by deadline accepted short requests from everybody until the end of the stop, in order to let the calls of the local target in. With callers that go on using their connections, a node that could have ended after 2.9 s stopped for the whole 5.1 s, and nodes that can identify their target accepted other callers too. Requests are now accepted at that stage only from the local target, or, where it cannot be identified, while its gate has requests in flight.

stopAdmission.test.ts "refuses all other callers once they have had time to switch ..." fails before (accepted) and passes.

--- a/packages/oleandergap-node/src/__tests__/stopAdmission.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stopAdmission.test.ts
@@ -1,7 +1,12 @@
 import { expect } from "chai";
 import type { Milliseconds } from "oleandergap-types";
 import { createManualClock } from "oleandergap-utils";
-import { createStopAdmission, findStopRefusal, type StopAdmission } from "../stop/stopAdmission.js";
+import {
+    createStopAdmission,
+    findStopRefusal,
+    type CallerIdentity,
+    type StopAdmission,
+} from "../stop/stopAdmission.js";
 
 const DRAIN_MS: Milliseconds = 5100;
 const ASSUMED_MS: Milliseconds = 2550;
@@ -14,7 +19,7 @@
         readonly admission: StopAdmission;
         readonly stop: () => void;
         /** Returns the decision of a gateway on a request whose deadline is `timeoutMs` from now. */
-        readonly decide: (timeoutMs: Milliseconds, isRefusing?: boolean, isLocalTarget?: boolean) => unknown;
+        readonly decide: (timeoutMs: Milliseconds, isRefusing?: boolean, caller?: CallerIdentity) => unknown;
     }
 
     const createHarness = (): Harness => {
@@ -27,8 +32,8 @@
             stop: () => {
                 endsAt = clock.monotonic() + DRAIN_MS;
             },
-            decide: (timeoutMs, isRefusing = false, isLocalTarget = false) => findStopRefusal(
-                { isRefusing, isLocalTarget, retryAfterMs: DRAINING.retryAfterMs },
+            decide: (timeoutMs, isRefusing = false, caller = "PossiblyLocalTarget") => findStopRefusal(
+                { isRefusing, caller, retryAfterMs: DRAINING.retryAfterMs },
                 admission,
                 { kind: KIND, deadline: clock.monotonic() + timeoutMs },
             ),
@@ -96,6 +101,13 @@
         const harness = createHarness();
         harness.stop();
         await harness.clock.advance(5000);
-        expect(harness.decide(5000, true, true)).to.equal(undefined);
+        expect(harness.decide(5000, true, "LocalTarget")).to.equal(undefined);
+    });
+
+    it("refuses all other callers once they have had time to switch, so that they do not prolong the stop", () => {
+        const harness = createHarness();
+        harness.stop();
+        expect(harness.decide(100, false, "Other")).to.equal(undefined);
+        expect(harness.decide(100, true, "Other")).to.deep.equal(DRAINING);
     });
 });
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -13,6 +13,7 @@
 } from "oleandergap-routing";
 import { findAdmissionRefusal } from "../admin/readiness.js";
 import { recordRequestEnd } from "../admin/recordRequestEnd.js";
+import type { ServiceReference } from "oleandergap-types";
 import type { GatePath } from "../gate/createGatePath.js";
 import type { UnservedCalls } from "../gate/unservedCalls.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
@@ -20,7 +21,7 @@
 import type { OpenRequests } from "../http/openRequests.js";
 import type { EventLoopLagMonitor } from "../http/eventLoopLag.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
-import { createNodeStopAdmission, findStopRefusal } from "../stop/stopAdmission.js";
+import { createNodeStopAdmission, findStopRefusal, type CallerIdentity } from "../stop/stopAdmission.js";
 import { createCallerServiceLookup } from "../target/localService.js";
 import type { LocalTargetManager } from "../target/localTargetManager.js";
 import { createElapsedWaitEstimator } from "./elapsedWaitEstimator.js";
@@ -101,6 +102,12 @@
     const { options, clock, random, createPartLogger, metrics } = dependencies;
     const { requests } = options;
     const stopAdmission = createNodeStopAdmission(dependencies);
+    const identifyCaller = (callingService: ServiceReference | undefined): CallerIdentity => {
+        if (dependencies.callerService === undefined) {
+            return callingService === undefined ? "Other" : "LocalTarget";
+        }
+        return (parts.gate.load()?.inFlight ?? 0) > 0 ? "PossiblyLocalTarget" : "Other";
+    };
     return createGatewayHandler({
         clock,
         logger: createPartLogger("gateway"),
@@ -125,7 +132,7 @@
         closed: () => findAdmissionRefusal(dependencies.readiness, random),
         findStopRefusal: (request, callingService) => findStopRefusal({
             isRefusing: dependencies.readiness.refusing,
-            isLocalTarget: callingService !== undefined && dependencies.callerService === undefined,
+            caller: identifyCaller(callingService),
             retryAfterMs: options.stop.lingerMs,
         }, stopAdmission, request),
         recordDuration: stopAdmission.recordDuration,
--- a/packages/oleandergap-node/src/stop/stopAdmission.ts
+++ b/packages/oleandergap-node/src/stop/stopAdmission.ts
@@ -64,29 +64,43 @@
     assumedDurationMs: options.stop.drainTimeoutMs * ASSUMED_DURATION_PART,
 });
 
+/**
+ * Who sends a request. `PossiblyLocalTarget`: the local target cannot be told from other callers, and it is running
+ * requests, for which it may call other services.
+ */
+export type CallerIdentity = "LocalTarget" | "PossiblyLocalTarget" | "Other";
+
 /** State of a gateway that decides on a request of a caller. */
 export interface GatewayStopState {
     /** Callers have had time to switch to other nodes. */
     readonly isRefusing: boolean;
-    /** Whether the local target is known to be the caller. It may need the call to finish its requests in flight. */
-    readonly isLocalTarget: boolean;
+    readonly caller: CallerIdentity;
     /** Retry delay of a refusal. */
     readonly retryAfterMs: Milliseconds;
 }
 
+const isAccepted = (
+    { isRefusing, caller }: GatewayStopState,
+    admission: StopAdmission,
+    request: StoppableRequest,
+): boolean => {
+    if (caller === "LocalTarget") {
+        return true;
+    }
+    return isRefusing ?
+        caller === "PossiblyLocalTarget" && admission.endsInTime(request) :
+        admission.canFinish(request);
+};
+
 /**
  * Returns why a gateway does not accept a request; undefined if it accepts the request.
  *
- * Where the local target cannot be told from other callers, its calls are among the requests that arrive after callers
- * have switched. Refusing all of them would fail the requests that the target is still running. Those that end in time
- * in any case are therefore accepted from everybody.
+ * The local target may need its calls to finish its requests in flight, so that refusing them would fail these
+ * requests. Where it cannot be told from other callers, every request is accepted that ends in time in any case.
  */
 export const findStopRefusal = (
-    { isRefusing, isLocalTarget, retryAfterMs }: GatewayStopState,
+    state: GatewayStopState,
     admission: StopAdmission,
     request: StoppableRequest,
-): AdmissionRefusal | undefined => {
-    const isAccepted = isLocalTarget ||
-        (isRefusing ? admission.endsInTime(request) : admission.canFinish(request));
-    return isAccepted ? undefined : { reason: "Draining", retryAfterMs };
-};
+): AdmissionRefusal | undefined =>
+    isAccepted(state, admission, request) ? undefined : { reason: "Draining", retryAfterMs: state.retryAfterMs };
