Stops: a request whose body is still arriving gets a final response at the drain timeout

A caller that was still sending its body when the drain timeout passed saw its connection close without a response, up to 0.5 s later: a request was registered only once the buffered part of its body had arrived, so that the abort of the remaining requests did not reach it. It is now registered when it is accepted, and the abort ends the wait for its body with a refusal, Draining, unrun.

--- a/packages/oleandergap-node/src/__tests__/abortedRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/abortedRequests.test.ts
@@ -1,8 +1,18 @@
+import { once } from "node:events";
+import http from "node:http";
 import { expect } from "chai";
 import { createSystemClock } from "oleandergap-utils";
 import { createOpenRequests } from "../http/openRequests.js";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
-import { sendHttpRequest, createAnnouncement, createCleanup, startGate, startTarget } from "./support.js";
+import {
+    createAnnouncement,
+    createCleanup,
+    LOOPBACK,
+    sendHttpRequest,
+    startGate,
+    startTarget,
+    waitUntil,
+} from "./support.js";
 
 describe("aborting the requests in flight", () => {
     const cleanup = createCleanup();
@@ -32,4 +42,24 @@
         expect(clientResponse.headers["oleandergap-verdict"]).to.equal("mayHaveRun");
         expect(clientResponse.statusCode).to.equal(502);
     });
+
+    it("refuses a request whose body is still arriving, instead of closing its connection without a response", async () => {
+        const openRequests = createOpenRequests(clock);
+        const gateway = await startGateway(cleanup.add, { clock, targets: [], openRequests });
+        const request = http.request({
+            port: gateway.port, host: LOOPBACK, method: "POST",
+            headers: { host: HOST, "content-length": "1000", "oleandergap-timeout-ms": "10000" },
+        });
+        cleanup.add(() => request.destroy());
+        request.on("error", () => undefined);
+        request.write("the first part");
+        await waitUntil(() => openRequests.list().length === 1);
+        openRequests.abortAll();
+        const [response] = await once(request, "response") as [http.IncomingMessage];
+        expect(response.statusCode).to.equal(503);
+        expect(response.headers).to.include({
+            "oleandergap-verdict": "notRun", "oleandergap-reason": "Draining", connection: "close",
+        });
+        response.resume();
+    });
 });
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -135,7 +135,7 @@
 const TIMER_TOLERANCE_MS = 2;
 
 export const createGatewayHandler = (dependencies: GatewayHandlerDependencies) => {
-    const { clock, dialect } = dependencies;
+    const { clock, dialect, maxBodyBytes: maxBytes } = dependencies;
 
     const describeResponse = (
         { caller, requestId, isRetried }: RequestState,
@@ -175,8 +175,12 @@
         });
     };
 
-    const routeRequest = async (state: RequestState, caller: CallerRequest, body: RequestBody): Promise<void> => {
-        const signal = dependencies.openRequests.open(state.response, state.requestId);
+    const routeRequest = async (
+        state: RequestState,
+        caller: CallerRequest,
+        body: RequestBody,
+        signal: AbortSignal,
+    ): Promise<void> => {
         const { service, row, table, deadline } = caller;
         const found = dependencies.findTargets({ service, row, table, deadline, signal });
         const containment = dependencies.createRequestContainment(caller, body);
@@ -233,11 +237,8 @@
             refuse(state, caller.left);
             return;
         }
-        const received = receiveBody(state.request, {
-            clock,
-            maxBytes: dependencies.maxBodyBytes,
-            deadline: state.deadline,
-        });
+        const signal = dependencies.openRequests.open(state.response, state.requestId);
+        const received = receiveBody(state.request, { clock, maxBytes, deadline: state.deadline, signal });
         const body = received instanceof Promise ? await received : received;
         if (either.isLeft(body)) {
             refuse(state, toRequestFailure(body.left));
@@ -251,7 +252,7 @@
         if (inputRead !== undefined) {
             await inputRead;
         }
-        await routeRequest(state, caller.right, body.right);
+        await routeRequest(state, caller.right, body.right, signal);
     };
 
     return (request: IncomingMessage, response: ServerResponse, arrival: RequestArrival): void => {
--- a/packages/oleandergap-node/src/http/requestBody.ts
+++ b/packages/oleandergap-node/src/http/requestBody.ts
@@ -6,6 +6,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
+import { getAbortCause } from "./openRequests.js";
 
 /** Maximum size of a body that is buffered completely for replay, in bytes. */
 export const MAX_REPLAY_BYTES = 64 * 1024;
@@ -45,7 +46,9 @@
     /** The caller disconnected before the request was complete. */
     | { readonly kind: "Disconnected" }
     /** The deadline passed before the request had arrived. */
-    | { readonly kind: "TooSlow" };
+    | { readonly kind: "TooSlow" }
+    /** The node stops before the request has arrived. */
+    | { readonly kind: "NodeStopping" };
 
 const NO_BODY: Either<BodyError, RequestBody> = either.right({ kind: "Empty" });
 
@@ -58,6 +61,8 @@
             return { kind: "Refused", verdict: "notRun", reason: "Cancelled", retryAfterMs: 0 };
         case "TooSlow":
             return { kind: "Refused", verdict: "notRun", reason: "DeadlinePassed", retryAfterMs: 0 };
+        case "NodeStopping":
+            return { kind: "Refused", verdict: "notRun", reason: "Draining", retryAfterMs: 0 };
     }
 };
 
@@ -66,6 +71,8 @@
     readonly maxBytes: number;
     /** Monotonic time by which the buffered part must have arrived. */
     readonly deadline: Milliseconds;
+    /** Signal of the open request. The end of a stop ends the wait for a body that is still arriving. */
+    readonly signal?: AbortSignal;
 }
 
 const readDeclaredLength = (request: IncomingMessage): number | undefined => {
@@ -163,12 +170,19 @@
 const collectBodyUntilDeadline = (
     request: IncomingMessage,
     length: number | undefined,
-    { clock, maxBytes, deadline }: BodyLimits,
+    { clock, maxBytes, deadline, signal }: BodyLimits,
 ): Promise<Either<BodyError, RequestBody>> =>
     new Promise((resolve) => {
+        const onAbort = (): void => {
+            if (signal !== undefined && getAbortCause(signal) === "NodeStopping") {
+                resolve(either.left({ kind: "NodeStopping" }));
+            }
+        };
         const cancel = clock.after(deadline - clock.monotonic(), () => resolve(either.left({ kind: "TooSlow" })));
+        signal?.addEventListener("abort", onAbort, { once: true });
         void collectBody(request, length, maxBytes).then((body) => {
             cancel();
+            signal?.removeEventListener("abort", onAbort);
             resolve(body);
         });
     });
