Stops: what has arrived is read before a listener closes

Cause: the timer that ends the last stage runs before the event loop polls; the listening socket, or an idle connection, was closed with an opened connection or a request unread. The listener now polls for input before it closes the listening socket, and again until no request is left before it closes idle connections.

--- a/packages/oleandergap-node/src/__tests__/listener.test.ts
+++ b/packages/oleandergap-node/src/__tests__/listener.test.ts
@@ -110,6 +110,27 @@
         expect(gateway.inFlight()).to.equal(0);
     });
 
+    it("answers a request on a connection that was opened before it drains, but not accepted yet", async () => {
+        // The linger time has passed before the event loop polls again.
+        const clock = { ...createSystemClock(), sleep: () => Promise.resolve() };
+        const listener = await startTestListener(cleanup.add, clock, (_request, response) => {
+            response.writeHead(503).end();
+        });
+        const client = net.connect(listener.port, LOOPBACK);
+        cleanup.add(() => client.destroy());
+        client.on("error", () => undefined);
+        let received = "";
+        client.on("data", (chunk: Buffer) => {
+            received += chunk.toString();
+        });
+        client.write(`GET / HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`);
+        const closed = new Promise((resolve) => client.once("close", resolve));
+        await new Promise<void>((resolve) => process.nextTick(resolve));
+        await listener.drain(0, new AbortController().signal);
+        await closed;
+        expect(received).to.match(/^HTTP\/1\.1 503 /).and.include("onnection: close");
+    });
+
     // Guards against a response that is cut off by a shutdown because the caller has not read its last part yet.
     it("delivers the rest of a response while it drains", async () => {
         const body = createReceivedBody({ pause: () => undefined, resume: () => undefined, abort: () => undefined });
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -24,6 +24,8 @@
  */
 const KEEP_ALIVE_MS = 65_000;
 const TCP_KEEP_ALIVE_DELAY_MS = 15_000;
+/** Number of iterations of the event loop after which it has certainly polled for input. */
+const POLL_TURNS = 2;
 const HEADER_OVERFLOW_CODE = "HPE_HEADER_OVERFLOW";
 
 /** Describes the arrival of a request. */
@@ -114,6 +116,17 @@
     return typeof address === "object" && address !== null ? address.port : 0;
 };
 
+/**
+ * Resolves when the event loop has polled for input, or immediately if `signal` has aborted. Timers run before
+ * connections that have been opened are accepted and requests that have arrived are read. Closing a socket at that
+ * moment would reset them without a response.
+ */
+const readPendingInput = async (signal: AbortSignal): Promise<void> => {
+    for (let turn = 0; turn < POLL_TURNS && !signal.aborted; turn++) {
+        await new Promise((resolve) => setImmediate(resolve));
+    }
+};
+
 const startImmediately = (start: () => boolean): boolean => start();
 
 /** Starts a server that listens on the address and port of `options`. */
@@ -191,8 +204,12 @@
     const drain = async (lingerMs: Milliseconds, signal: AbortSignal): Promise<void> => {
         isDraining = true;
         await options.clock.sleep(lingerMs, signal);
+        await readPendingInput(signal);
         NetServer.prototype.close.call(server);
-        await waitUntilIdle(signal);
+        do {
+            await waitUntilIdle(signal);
+            await readPendingInput(signal);
+        } while (activeRequests > 0 && !signal.aborted);
         server.closeIdleConnections();
     };
 
