Listener: a line for connections that are refused because too many are open

Hypothesis: requests.maxConnections (2,500) is reached, and the runtime resets what comes beyond it without a word. This line tells it from other causes.

--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -55,6 +55,8 @@
     readonly handle: HandleArrival;
     /** Schedules when a received request is handled. Without it, requests are handled immediately. */
     readonly turns?: Pick<TurnQueue, "run" | "runFirst"> | undefined;
+    /** Called when a connection is refused because `maxConnections` are open. */
+    readonly onRefusedConnection?: () => void;
 }
 
 export interface ListenError {
@@ -212,6 +214,7 @@
     server.on("connection", () => {
         acceptedConnections++;
     });
+    server.on("drop", () => options.onRefusedConnection?.());
 
     const error = await waitForListening(server, options);
     if (error !== undefined) {
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -1,9 +1,11 @@
 /** The HTTP servers of a node: the four built-in ones and additional ones from the adapters. */
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
+import type { Logger } from "oleandergap-logger";
 import type { Clock } from "oleandergap-types";
 import type { ListenerDefinition } from "./adapters.js";
 import { startListener, type HandleArrival, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
+import { createRefusedConnectionLog } from "./http/refusedConnectionLog.js";
 import { createTurnQueue, type TurnQueue } from "./http/turnQueue.js";
 import type { NodeOptions } from "./options.js";
 
@@ -25,6 +27,7 @@
 export interface NodeListenersDependencies {
     readonly options: Pick<NodeOptions, "listen" | "requests">;
     readonly clock: Clock;
+    readonly logger: Logger;
     readonly handlers: NodeHandlers;
     readonly additionalListeners: readonly ListenerDefinition[];
 }
@@ -39,7 +42,7 @@
 
 /** Starts all listeners or none: if one fails, those that were already started are closed. */
 export const startNodeListeners = (
-    { options, clock, handlers, additionalListeners }: NodeListenersDependencies,
+    { options, clock, logger, handlers, additionalListeners }: NodeListenersDependencies,
 ): TaskEither<ListenError, NodeListeners> => async () => {
     const { listen, requests } = options;
     const requestTurns = createTurnQueue();
@@ -54,6 +57,9 @@
             maxConnections: requests.maxConnections,
             clock,
             turns,
+            onRefusedConnection: createRefusedConnectionLog({
+                clock, logger, listener: definition.name, maxConnections: requests.maxConnections,
+            }),
         })();
         if (either.isRight(listener)) {
             started.push(listener.right);
