Listener: idle connections make room before new callers are reset

What callers saw: in the near miss of the incident, from 33.7 s on, 4,520 tries are reset at once without an answer (1,126 requests for good, mostly lookups) while the node serves others. Two nodes with most callers of a cut zone are concerned.

Callers open a connection for each retry and keep it after a refusal; the listener keeps idle ones for 65 s. Class: a limit that is filled by what is not in use, and then hits what is.

Change: when a connection is accepted and less than 2% of the places are free, those that have been idle longest are closed. A connection with a request is never closed for it. Looked for elsewhere: pools of connections to nodes and targets close idle ones after a few seconds and are bounded by pool; the gate's listener has the same limit and now the same reserve.

connectionLimit.test.ts: 'answers new callers while others keep their connections open without using them' failed before at the 21st caller of 60 with a maximum of 20, and passes.

--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -136,5 +136,5 @@
         recordUnserved: options.recordUnserved ?? (() => undefined),
         countRequest: () => undefined,
         logFailure: options.logFailure ?? (() => undefined),
-    }), options.turns);
+    }), { turns: options.turns });
 };
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -88,10 +88,10 @@
     cleanup: Cleanup,
     clock: Clock,
     handle: HandleArrival,
-    turns?: ListenerOptions["turns"],
+    options: Partial<Pick<ListenerOptions, "turns" | "maxConnections">> = {},
 ): Promise<Listener> => {
     const listener = await startListener({
-        name: "test", address: LOOPBACK, port: 0, maxConnections: 1000, clock, handle, turns,
+        name: "test", address: LOOPBACK, port: 0, maxConnections: 1000, clock, handle, ...options,
     })();
     if (either.isLeft(listener)) {
         throw new Error(listener.left.detail);
@@ -308,7 +308,7 @@
         feedback: () => describeFeedback(targetManager.current()),
         maxBodyBytes: 64 * 1024 * 1024,
         usualTimeoutMs: 5000,
-    }), options.turns);
+    }), { turns: options.turns });
     return { port: listener.port, listener, serve, targetManager, pools, published };
 };
 
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -10,6 +10,7 @@
 import * as either from "fp-ts/lib/Either.js";
 import type { TaskEither } from "fp-ts/lib/TaskEither.js";
 import { REASON_HEADER, VERDICT_HEADER, type Clock, type Milliseconds } from "oleandergap-types";
+import { createConnectionReserve } from "./connectionReserve.js";
 import { createPipelinedRequests } from "./pipelinedRequests.js";
 import type { TurnQueue } from "./turnQueue.js";
 
@@ -161,11 +162,15 @@
     let onIdle: (() => void) | undefined;
 
     const pipelinedRequests = createPipelinedRequests(() => isDraining);
+    const connectionReserve = createConnectionReserve(options.maxConnections);
 
     const handleInTurn = (request: IncomingMessage, response: ServerResponse, arrival: RequestArrival): void => {
         activeRequests++;
         response.once("close", () => {
             activeRequests--;
+            if (!pipelinedRequests.hasOpenRequests(request.socket)) {
+                connectionReserve.recordIdle(request.socket);
+            }
             if (activeRequests === 0) {
                 onIdle?.();
             }
@@ -185,6 +190,7 @@
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
         const arrival = { receivedAt: options.clock.monotonic(), isFirst: !usedSockets.has(request.socket) };
         usedSockets.add(request.socket);
+        connectionReserve.recordBusy(request.socket);
         pipelinedRequests.add({ request, response, handle: () => handleInTurn(request, response, arrival) });
     };
 
@@ -211,8 +217,9 @@
             answer: (response) => answerMalformedRequest(error, response),
         });
     });
-    server.on("connection", () => {
+    server.on("connection", (socket: Socket) => {
         acceptedConnections++;
+        connectionReserve.recordOpen(socket);
     });
     server.on("drop", () => options.onRefusedConnection?.());
 
