Placement: an idle target does not count as slow because of rounding errors

The sums of sending times and typical latencies of the requests in flight are kept by adding and subtracting fractions; when the last one ends, rests of about 1e-12 and 1e-14 stay, and one divided by the other looks like a long delay. It stays until the target gets a request, which it does not get. The same ratio counts in the placement by load, so any idle target may look eight times as loaded. Class: a sum that is kept incrementally and compared after it should be zero. Looked for elsewhere: the sums of customers' groups are deleted with the last customer; counts are whole numbers.

Change: the sums are zero when nothing is in flight. The metric oleandergap_target_estimate has one figure more, 'ejected', which told this cause from an ejection.

--- a/packages/oleandergap-routing/src/summariseTargets.ts
+++ b/packages/oleandergap-routing/src/summariseTargets.ts
@@ -11,13 +11,14 @@
 
 const summariseTarget = <Target extends RoutableTarget>(
     service: string,
-    { target, pace, inFlight, otherNodesInFlight, capacity, loadReportedAt }: TargetState<Target>,
+    { target, circuit, pace, inFlight, otherNodesInFlight, capacity, loadReportedAt }: TargetState<Target>,
     context: CompletionContext,
 ): TargetSummary => {
     const requests = inFlight + otherNodesInFlight;
     return {
         service,
         nodeId: target.nodeId,
+        ejected: circuit.state === "closed" ? 0 : 1,
         ageMs: context.now - loadReportedAt,
         requests,
         capacity,
--- a/packages/oleandergap-routing/src/target.ts
+++ b/packages/oleandergap-routing/src/target.ts
@@ -143,6 +143,8 @@
     /** Service as `partner/service`, followed by the group of targets if they are not the usual ones. */
     readonly service: string;
     readonly nodeId: NodeId;
+    /** 1 if the target is ejected, otherwise 0. */
+    readonly ejected: number;
     /** Age of the latest report. */
     readonly ageMs: Milliseconds;
     /** Number of requests that run or wait at the target. */
--- a/packages/oleandergap-routing/src/targetState.ts
+++ b/packages/oleandergap-routing/src/targetState.ts
@@ -164,8 +164,9 @@
     now: Milliseconds,
 ): void => {
     state.inFlight = Math.max(0, state.inFlight - 1);
-    state.sentAtSum -= sentAt;
-    state.typicalLatencySum = Math.max(0, state.typicalLatencySum - typicalMs);
+    // Rounding leaves a rest in the sums. Divided by each other, the rests of an idle target look like a long delay.
+    state.sentAtSum = state.inFlight === 0 ? 0 : state.sentAtSum - sentAt;
+    state.typicalLatencySum = state.inFlight === 0 ? 0 : Math.max(0, state.typicalLatencySum - typicalMs);
     if (load !== undefined) {
         state.waitingSince = now;
         state.otherNodesInFlight = Math.max(0, load.inFlight + load.queued - state.inFlight);
