Gate: counts of served, refused and promoted requests by priority

An operator could not see that less urgent requests get next to nothing at a gate, nor that the priority floor is at work; single lines are left out in an overload, and the summaries name routes, not priorities. oleandergap_gate_requests_by_priority counts them at gates that serve no customers.

--- a/packages/oleandergap-gate/src/__tests__/priorityFloor.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/priorityFloor.test.ts
@@ -54,6 +54,17 @@
         expect(floor.choosePriority({ priority: 1 })).to.equal(1);
     });
 
+    it("counts the requests of each priority for operators", () => {
+        const floor = createPriorityFloor(createManualClock());
+        record(floor, 1, 0);
+        record(floor, 0, 1);
+        floor.choosePriority({ priority: 1 });
+        expect(floor.listCounts()).to.deep.equal([
+            { priority: 0, served: 100, refused: 0, promoted: 0 },
+            { priority: 1, served: 0, refused: 100, promoted: 1 },
+        ]);
+    });
+
     it("forgets requests that were decided long ago", async () => {
         const clock = createManualClock();
         const floor = createPriorityFloor(clock);
--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -67,6 +67,16 @@
     readonly isOverShare: boolean;
 }
 
+/** Requests of one priority since the start. */
+export interface PriorityCounts {
+    readonly priority: number;
+    readonly served: number;
+    /** Requests that were refused for want of capacity. */
+    readonly refused: number;
+    /** Requests that were offered with a more urgent priority, because their own was served too rarely. */
+    readonly promoted: number;
+}
+
 /** Admission control of one target. Every request to the target passes through its gate. */
 export interface Gate {
     /**
@@ -87,6 +97,8 @@
     readonly load: (kind?: string) => GateLoad;
     /** Returns the customers that ask for most of the target, the largest demand first; none without customers. */
     readonly listCustomers: () => readonly CustomerDemand[];
+    /** Returns how requests ended by priority, the most urgent first; none while the gate serves customers. */
+    readonly listPriorities: () => readonly PriorityCounts[];
     /** Returns the number of requests sent to the target in the last `periodMs`, at most `MAX_METER_PERIOD_MS`. */
     readonly countRecentRequests: (periodMs: Milliseconds) => number;
     /** Records that a request that holds a slot was sent to the target once more, over another connection. */
--- a/packages/oleandergap-gate/src/customerAdmission.ts
+++ b/packages/oleandergap-gate/src/customerAdmission.ts
@@ -1,4 +1,4 @@
-/** Ranks the requests of customers by their shares. */
+/** Ranks the requests of customers by their shares, and others by their priorities. */
 import * as either from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { DEFAULT_KIND, type AdmissionRequest, type Gate } from "./admission.js";
@@ -30,7 +30,7 @@
 const MAXIMUM_LISTED = 10;
 
 /** Admission by the shares of customers. See `Gate`. */
-export type CustomerAdmission = Pick<Gate, "admit" | "listCustomers">;
+export type CustomerAdmission = Pick<Gate, "admit" | "listCustomers" | "listPriorities">;
 
 /** Creates the admission by shares. Requests without a customer are never over a share. */
 export const createCustomerAdmission = (
@@ -77,5 +77,9 @@
         return decision;
     };
 
-    return { admit, listCustomers: () => shares.listLargest(MAXIMUM_LISTED, clock.monotonic()) };
+    return {
+        admit,
+        listCustomers: () => shares.listLargest(MAXIMUM_LISTED, clock.monotonic()),
+        listPriorities: priorityFloor.listCounts,
+    };
 };
--- a/packages/oleandergap-gate/src/priorityFloor.ts
+++ b/packages/oleandergap-gate/src/priorityFloor.ts
@@ -7,7 +7,7 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds, RefusalReason } from "oleandergap-types";
-import type { AdmissionRequest } from "./admission.js";
+import type { AdmissionRequest, PriorityCounts } from "./admission.js";
 import type { Decision } from "./refusals.js";
 
 /**
@@ -28,7 +28,7 @@
 /** The priority with which a request asked. */
 type OwnPriority = Pick<AdmissionRequest, "priority">;
 
-/** Decided requests of one priority. */
+/** Requests of one priority that were decided lately; the counts decay. */
 interface DecidedRequests {
     readonly priority: number;
     served: number;
@@ -36,12 +36,16 @@
     updatedAt: Milliseconds;
 }
 
+type Writable<Counts> = { -readonly [Name in keyof Counts]: Counts[Name] };
+
 /** Chooses the priorities with which requests are admitted. */
 export interface PriorityFloor {
     /** Returns the priority of a request, or a more urgent one if its own is served too rarely. */
     readonly choosePriority: (request: OwnPriority) => number;
     /** Records whether a request was admitted. */
     readonly recordDecision: (request: OwnPriority, decision: Decision) => void;
+    /** Returns the requests of each priority since the start, the most urgent first. */
+    readonly listCounts: () => readonly PriorityCounts[];
 }
 
 const computeServedShare = ({ served, refused }: DecidedRequests): number => served / (served + refused);
@@ -59,6 +63,13 @@
 /** Creates a floor without decided requests, which promotes none. */
 export const createPriorityFloor = (clock: Pick<Clock, "monotonic">): PriorityFloor => {
     const decidedByPriority = new Map<number, DecidedRequests>();
+    const countsByPriority = new Map<number, Writable<PriorityCounts>>();
+
+    const getCounts = (priority: number): Writable<PriorityCounts> => {
+        const counts = countsByPriority.get(priority) ?? { priority, served: 0, refused: 0, promoted: 0 };
+        countsByPriority.set(priority, counts);
+        return counts;
+    };
 
     /** Returns the priorities that were in use lately. */
     const listInUse = (now: Milliseconds): readonly DecidedRequests[] => {
@@ -84,6 +95,9 @@
             }
             const preferred = inUse.filter((decided) =>
                 decided.priority < priority && ownShare < SUFFICIENT_RELATIVE_SHARE * computeServedShare(decided));
+            if (preferred.length > 0) {
+                getCounts(priority).promoted += 1;
+            }
             return Math.min(priority, ...preferred.map((decided) => decided.priority));
         },
         recordDecision: ({ priority = 0 }, decision) => {
@@ -93,8 +107,11 @@
             const now = clock.monotonic();
             const decided = decidedByPriority.get(priority) ?? { priority, served: 0, refused: 0, updatedAt: now };
             decay(decided, now);
-            decided[either.isRight(decision) ? "served" : "refused"] += 1;
+            const outcome = either.isRight(decision) ? "served" : "refused";
+            decided[outcome] += 1;
             decidedByPriority.set(priority, decided);
+            getCounts(priority)[outcome] += 1;
         },
+        listCounts: () => [...countsByPriority.values()].sort((left, right) => left.priority - right.priority),
     };
 };
--- a/packages/oleandergap-node/src/admin/gauges.ts
+++ b/packages/oleandergap-node/src/admin/gauges.ts
@@ -116,6 +116,13 @@
     addGauge("platform", "Calls to the platform.", ["service", "figure"], () => readPlatformCalls(sources));
     addGauge("gate", "Load of the gate.", ["figure"], () =>
         readNumbers("figure", requestPath.target.current()?.gate.load() ?? {}));
+    addGauge(
+        "gate_requests_by_priority",
+        "Requests at the gate since the target was announced. A promoted one was offered with a more urgent priority.",
+        ["priority", "figure"],
+        () => (requestPath.target.current()?.gate.listPriorities() ?? []).flatMap(({ priority, ...counts }) =>
+            readNumbers("figure", counts, { priority: String(priority) })),
+    );
     addGauge(
         "target_estimate",
         "What this node believes of each target that reports its pace.",
