Decaying counters: one copy for the throttles and the priority floor

The floor decayed its counts by itself, as the throttles of the entry nodes do with a function of their package. That function moves to the utilities, and the floor uses it.

--- a/packages/oleandergap-gate/src/priorityFloor.ts
+++ b/packages/oleandergap-gate/src/priorityFloor.ts
@@ -7,6 +7,7 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds, RefusalReason } from "oleandergap-types";
+import { createDecayingCounters } from "oleandergap-utils";
 import type { AdmissionRequest, PriorityCounts } from "./admission.js";
 import type { Decision } from "./refusals.js";
 
@@ -29,11 +30,9 @@
 type OwnPriority = Pick<AdmissionRequest, "priority">;
 
 /** Requests of one priority that were decided lately; the counts decay. */
-interface DecidedRequests {
-    readonly priority: number;
+interface RecentRequests {
     served: number;
     refused: number;
-    updatedAt: Milliseconds;
 }
 
 type Writable<Counts> = { -readonly [Name in keyof Counts]: Counts[Name] };
@@ -48,21 +47,20 @@
     readonly listCounts: () => readonly PriorityCounts[];
 }
 
-const computeServedShare = ({ served, refused }: DecidedRequests): number => served / (served + refused);
-
-const decay = (decided: DecidedRequests, now: Milliseconds): void => {
-    const factor = Math.exp((decided.updatedAt - now) / TIME_CONSTANT_MS);
-    decided.served *= factor;
-    decided.refused *= factor;
-    decided.updatedAt = now;
-};
-
 const isForCapacity = (decision: Decision): boolean =>
     either.isRight(decision) || decision.left.kind !== "Refused" || !OTHER_REASONS.has(decision.left.reason);
 
 /** Creates a floor without decided requests, which promotes none. */
-export const createPriorityFloor = (clock: Pick<Clock, "monotonic">): PriorityFloor => {
-    const decidedByPriority = new Map<number, DecidedRequests>();
+export const createPriorityFloor = (clock: Clock): PriorityFloor => {
+    const getRecent = createDecayingCounters<RecentRequests>({
+        clock,
+        timeConstantMs: TIME_CONSTANT_MS,
+        create: () => ({ served: 0, refused: 0 }),
+        scale: (recent, factor) => {
+            recent.served *= factor;
+            recent.refused *= factor;
+        },
+    });
     const countsByPriority = new Map<number, Writable<PriorityCounts>>();
 
     const getCounts = (priority: number): Writable<PriorityCounts> => {
@@ -71,45 +69,38 @@
         return counts;
     };
 
-    /** Returns the priorities that were in use lately. */
-    const listInUse = (now: Milliseconds): readonly DecidedRequests[] => {
-        for (const decided of decidedByPriority.values()) {
-            decay(decided, now);
-            if (decided.served + decided.refused < NEGLIGIBLE_REQUESTS) {
-                decidedByPriority.delete(decided.priority);
-            }
-        }
-        return [...decidedByPriority.values()];
+    /** Returns the served share of a priority, or undefined if it has not been in use lately. */
+    const computeServedShare = (priority: number): number | undefined => {
+        const { served, refused } = getRecent(String(priority));
+        return served + refused < NEGLIGIBLE_REQUESTS ? undefined : served / (served + refused);
+    };
+
+    /** Returns whether requests of a priority are served so rarely that they are offered with the more urgent one. */
+    const isStarvedBy = (ownShare: number, moreUrgent: number): boolean => {
+        const moreUrgentShare = computeServedShare(moreUrgent);
+        return moreUrgentShare !== undefined && ownShare < SUFFICIENT_RELATIVE_SHARE * moreUrgentShare;
     };
 
     return {
         choosePriority: ({ priority = 0 }) => {
-            if (decidedByPriority.size <= 1) {
-                return priority;
-            }
-            const inUse = listInUse(clock.monotonic());
-            const own = inUse.find((decided) => decided.priority === priority);
-            const ownShare = own === undefined ? 1 : computeServedShare(own);
-            if (ownShare >= SUFFICIENT_SHARE) {
+            const ownShare = computeServedShare(priority);
+            if (ownShare === undefined || ownShare >= SUFFICIENT_SHARE) {
                 return priority;
             }
-            const preferred = inUse.filter((decided) =>
-                decided.priority < priority && ownShare < SUFFICIENT_RELATIVE_SHARE * computeServedShare(decided));
-            if (preferred.length > 0) {
+            const chosen = [...countsByPriority.keys()]
+                .filter((other) => other < priority && isStarvedBy(ownShare, other))
+                .reduce((mostUrgent, other) => Math.min(mostUrgent, other), priority);
+            if (chosen !== priority) {
                 getCounts(priority).promoted += 1;
             }
-            return Math.min(priority, ...preferred.map((decided) => decided.priority));
+            return chosen;
         },
         recordDecision: ({ priority = 0 }, decision) => {
             if (!isForCapacity(decision)) {
                 return;
             }
-            const now = clock.monotonic();
-            const decided = decidedByPriority.get(priority) ?? { priority, served: 0, refused: 0, updatedAt: now };
-            decay(decided, now);
             const outcome = either.isRight(decision) ? "served" : "refused";
-            decided[outcome] += 1;
-            decidedByPriority.set(priority, decided);
+            getRecent(String(priority))[outcome] += 1;
             getCounts(priority)[outcome] += 1;
         },
         listCounts: () => [...countsByPriority.values()].sort((left, right) => left.priority - right.priority),
--- a/packages/oleandergap-routing/src/overloadThrottle.ts
+++ b/packages/oleandergap-routing/src/overloadThrottle.ts
@@ -12,8 +12,7 @@
  * while its target is idle. It catches up only if it receives fewer requests.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
-import type { Random } from "oleandergap-utils";
-import { createDecayingCounters } from "./decayingCounters.js";
+import { createDecayingCounters, type Random } from "oleandergap-utils";
 
 /**
  * Number of requests sent for each accepted one. While at least half of the requests are accepted, this node refuses
--- a/packages/oleandergap-routing/src/starvationThrottle.ts
+++ b/packages/oleandergap-routing/src/starvationThrottle.ts
@@ -9,8 +9,7 @@
  * (`starvationThrottle.test.ts`).
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
-import type { Random } from "oleandergap-utils";
-import { createDecayingCounters } from "./decayingCounters.js";
+import { createDecayingCounters, type Random } from "oleandergap-utils";
 
 /**
  * Multiple of the share of successful runs that is sent. A request that succeeds in one of three cases justifies the
--- a/packages/oleandergap-utils/src/index.ts
+++ b/packages/oleandergap-utils/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./backgroundClock.js";
 export * from "./canonicalJson.js";
 export * from "./clock.js";
+export * from "./decayingCounters.js";
 export * from "./describeError.js";
 export * from "./gossipNetwork.js";
 export * from "./readAwareTimer.js";
