--- a/packages/oleandergap-routing/src/__tests__/targetState.test.ts
+++ b/packages/oleandergap-routing/src/__tests__/targetState.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import type { Milliseconds } from "oleandergap-types";
 import { createManualClock, createSeededRandom } from "oleandergap-utils";
-import { computeLoadPerSlot, createTargetState, recordEndedRequest, recordSentRequest } from "../targetState.js";
+import { computeLoadPerSlot } from "../targetScore.js";
+import { createTargetState, recordEndedRequest, recordSentRequest } from "../targetState.js";
 import { createTargets } from "./pickerHarness.js";
 
 const TYPICAL_MS: Milliseconds = 42.7;
--- a/packages/oleandergap-routing/src/completionChoice.ts
+++ b/packages/oleandergap-routing/src/completionChoice.ts
@@ -8,7 +8,8 @@
 import type { LocalityPreference } from "./localityPreference.js";
 import { sampleTarget, type SampleContext } from "./sampleTarget.js";
 import type { RoutableTarget } from "./target.js";
-import { computeRequestsPerSlot, scoreTarget, type TargetState } from "./targetState.js";
+import { computeRequestsPerSlot, scoreTarget } from "./targetScore.js";
+import type { TargetState } from "./targetState.js";
 import type { Candidates } from "./zoneCandidates.js";
 
 /** Maximum number of targets of the local zone that are compared, so that the cost does not grow with the zone. */
--- a/packages/oleandergap-routing/src/localityPreference.ts
+++ b/packages/oleandergap-routing/src/localityPreference.ts
@@ -11,7 +11,8 @@
 import { sampleTarget, type SampleContext } from "./sampleTarget.js";
 import type { PickerOptions } from "./options.js";
 import type { RoutableTarget } from "./target.js";
-import { scoreTarget, type TargetState } from "./targetState.js";
+import { scoreTarget } from "./targetScore.js";
+import type { TargetState } from "./targetState.js";
 import type { Candidates } from "./zoneCandidates.js";
 
 /** Position of this node, and the load limits up to which local targets are preferred. */
--- a/packages/oleandergap-routing/src/sampleTarget.ts
+++ b/packages/oleandergap-routing/src/sampleTarget.ts
@@ -5,7 +5,8 @@
 import type { Milliseconds, NodeId } from "oleandergap-types";
 import { pickIndex, type Random } from "oleandergap-utils";
 import type { RoutableTarget } from "./target.js";
-import { scoreTarget, computeSlowStartShare, type ScoreContext, type TargetState } from "./targetState.js";
+import { scoreTarget, computeSlowStartShare, type ScoreContext } from "./targetScore.js";
+import type { TargetState } from "./targetState.js";
 import type { Candidates } from "./zoneCandidates.js";
 
 /** Number of random samples after which the first eligible candidate is taken instead. */
--- a/packages/oleandergap-routing/src/targetPicker.ts
+++ b/packages/oleandergap-routing/src/targetPicker.ts
@@ -20,7 +20,8 @@
 import { defaultRoutingOptions, type PickerOptions } from "./options.js";
 import { createServiceState, refreshService, type ServiceState } from "./serviceState.js";
 import type { PickRequest, RoutableTarget, TargetPick, TargetPicker, ZoneSummary } from "./target.js";
-import { recordEndedRequest, recordSentRequest, computeLoadPerSlot, type TargetState } from "./targetState.js";
+import { computeLoadPerSlot } from "./targetScore.js";
+import { recordEndedRequest, recordSentRequest, type TargetState } from "./targetState.js";
 import { countTargets, restoreResponsiveTarget, startDueProbe } from "./zoneCandidates.js";
 import { applySharedLoads, listSharedLoads, refreshLocalLoad } from "./sharedLoads.js";
 import { summariseTargets } from "./summariseTargets.js";
