--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -97,7 +97,7 @@
     readonly load: (kind?: string) => GateLoad;
     /** Returns the customers that ask for most of the target, the largest demand first; none without customers. */
     readonly listCustomers: () => readonly CustomerDemand[];
-    /** Returns how requests ended by priority, the most urgent first; none while the gate serves customers. */
+    /** Returns how requests ended by priority, the most urgent first; without those of times with customers. */
     readonly listPriorities: () => readonly PriorityCounts[];
     /** Returns the number of requests sent to the target in the last `periodMs`, at most `MAX_METER_PERIOD_MS`. */
     readonly countRecentRequests: (periodMs: Milliseconds) => number;
