Stops: a gate counts its own lag when a stopping node sends a request

Cause: a stopping node says with each request how long it has left, and the gate counts that from when it reads the request. A gate whose process stood still, or whose event loop is behind, takes the end to be later than it is by as much.

The unit test in stoppingGate failed before as the handler had no lag to count.

Change: the gate takes off the longest lag of its event loop in the last half second. Deadlines are left as they are.

--- a/packages/oleandergap-node/src/__tests__/customerRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/customerRequests.test.ts
@@ -233,6 +233,7 @@
             maxBodyBytes: 1024,
             usualTimeoutMs: 5000,
             loadExchange: { shareLoads: () => [], recordSharedLoads: () => undefined },
+            recentLag: () => 0,
             countRequest: () => undefined,
         }));
         for (const name of ["north-bank", "north bank", "x".repeat(49)]) {
--- a/packages/oleandergap-node/src/__tests__/stoppingGate.test.ts
+++ b/packages/oleandergap-node/src/__tests__/stoppingGate.test.ts
@@ -64,4 +64,20 @@
         expect(readFailure((await waiting).headers)).to.include({ verdict: "notRun", reason: "StopTooSoon" });
         expect(finishRuns).to.have.length(1);
     });
+
+    it("starts no request that it reads so late that the stopping node which sent it would interrupt it", async () => {
+        let runs = 0;
+        const target = await startTarget(cleanup.add, (_request, response) => {
+            runs++;
+            response.end();
+        });
+        const clock = createManualClock();
+        const stopAdmission = createStopAdmission({ clock, endsAt: () => undefined, assumedDurationMs: 1000 });
+        const gate = await startGate(cleanup.add, { clock, stopAdmission, recentLag: () => 2500 });
+        gate.targetManager.announce(createAnnouncement(target));
+        const headers = createGateHeaders({ "oleandergap-sender-stops-in-ms": "3000" });
+        const response = await sendHttpRequest({ port: gate.port, headers });
+        expect(readFailure(response.headers)).to.include({ verdict: "notRun", reason: "StopTooSoon" });
+        expect(runs).to.equal(0);
+    });
 });
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -246,6 +246,8 @@
     readonly claims?: Claims;
     readonly containment?: Containment<never>;
     readonly rollouts?: Rollouts<never>;
+    /** See `EventLoopLagMonitor`; 0 by default. */
+    readonly recentLag?: () => number;
     /**
      * Resolves when pending input has been read; undefined if the event loop does not lag. See `EventLoopLagMonitor`.
      */
@@ -308,6 +310,7 @@
         feedback: () => describeFeedback(targetManager.current()),
         maxBodyBytes: 64 * 1024 * 1024,
         usualTimeoutMs: 5000,
+        recentLag: options.recentLag ?? (() => 0),
     }), { turns: options.turns });
     return { port: listener.port, listener, serve, targetManager, pools, published };
 };
--- a/packages/oleandergap-node/src/__tests__/truncatedResponses.test.ts
+++ b/packages/oleandergap-node/src/__tests__/truncatedResponses.test.ts
@@ -92,6 +92,24 @@
         abortController.abort();
     });
 
+    it("reports the longest recent lag, and none once the event loop keeps up again", async () => {
+        const clock = createManualClock();
+        const lagMonitor = createEventLoopLagMonitor({ clock, nextTurn: async () => undefined, onPause: () => undefined });
+        const abortController = new AbortController();
+        lagMonitor.start(abortController.signal);
+        await clock.advance(100);
+        expect(lagMonitor.recentLag()).to.equal(0);
+        clock.freeze(400);
+        const lagMs = lagMonitor.recentLag();
+        expect(lagMs).to.be.within(300, 400);
+        await clock.advance(1);
+        clock.freeze(150);
+        expect(lagMonitor.recentLag()).to.be.within(lagMs, 400);
+        await clock.advance(700);
+        expect(lagMonitor.recentLag()).to.equal(0);
+        abortController.abort();
+    });
+
     /*
      * Guards against delayed requests at nodes that are busy but read their sockets in time. Each event loop iteration
      * takes 40 ms. With checks at fixed times, a late check was followed by the next one within the same iteration, and
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -27,7 +27,7 @@
     const { clock, signal } = dependencies;
     const pools = createPools(dependencies);
     const target = createTarget(dependencies);
-    const { catchUp } = startEventLoopLagMonitor({ clock, onPause: createPauseLog(dependencies) }, signal);
+    const { catchUp, recentLag } = startEventLoopLagMonitor({ clock, onPause: createPauseLog(dependencies) }, signal);
     const openRequests = { gateway: createOpenRequests(clock), gate: createOpenRequests(clock) };
     const unservedCalls = createUnservedCalls(clock);
     const localService = createLocalService(dependencies, target);
@@ -38,6 +38,7 @@
         localService,
         loadExchange: picker,
         catchUp,
+        recentLag,
         isFailureExplained: unservedCalls.explain,
         openRequests: openRequests.gate,
     });
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -33,6 +33,7 @@
     /** See `GateHandlerDependencies`. */
     readonly loadExchange: LoadExchange;
     readonly catchUp: EventLoopLagMonitor["catchUp"];
+    readonly recentLag: EventLoopLagMonitor["recentLag"];
     readonly isFailureExplained: UnservedCalls["explain"];
     /** The requests of other nodes that are in flight. */
     readonly openRequests: OpenRequests;
@@ -144,6 +145,7 @@
         feedback: () => describeFeedback(target.current()),
         maxBodyBytes: requests.maxBodyBytes,
         usualTimeoutMs: requests.usualTimeoutMs,
+        recentLag: parts.recentLag,
         countRequest: (end, duration) => dependencies.metrics.countRequest("gate", end, duration),
     });
     return { claims, claimSweeper, tally, load, serve, mayTargetCall: callTimes.mayCall, handleGate };
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -69,6 +69,8 @@
     readonly maxBodyBytes: number;
     /** Timeout of a request that has no timeout header, in milliseconds. */
     readonly usualTimeoutMs: Milliseconds;
+    /** See `EventLoopLagMonitor`. */
+    readonly recentLag: () => Milliseconds;
     readonly countRequest: (end: RequestResult, duration: Milliseconds) => void;
 }
 
@@ -117,11 +119,19 @@
 
 type GateRequestHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
 
-/** Parses the request head. The timeout starts at `receivedAt`, the monotonic time at which the head was read. */
+/** How a request arrived. */
+interface HeadArrival {
+    /** Monotonic time at which the head was read. */
+    readonly receivedAt: Milliseconds;
+    /** Time for which the head may have waited to be read. */
+    readonly lagMs: Milliseconds;
+}
+
+/** Parses the request head. The timeout starts when the head was read. */
 const parseRequestHead = (
     request: IncomingMessage,
     usualTimeoutMs: Milliseconds,
-    receivedAt: Milliseconds,
+    { receivedAt, lagMs }: HeadArrival,
 ): Either<RequestFailure, GateRequestHead> => {
     const service = readService(request, SERVICE_HEADER);
     const requestId = readRequestHeader(request, REQUEST_ID_HEADER);
@@ -149,7 +159,8 @@
         idempotencyKey: readRequestHeader(request, IDEMPOTENCY_KEY_HEADER),
         requestId,
         deadline: receivedAt + timeout.right,
-        senderEndsAt: readTimeFromNow(request, SENDER_STOPS_HEADER, receivedAt),
+        // Counted from when it was read, a sender would seem to stop later than it does, and would interrupt the run.
+        senderEndsAt: readTimeFromNow(request, SENDER_STOPS_HEADER, receivedAt - lagMs),
         objective: readTimeFromNow(request, OBJECTIVE_HEADER, receivedAt),
     });
 };
@@ -237,7 +248,8 @@
         response: ServerResponse,
         receivedAt: Milliseconds,
     ): Promise<void> => {
-        const head = parseRequestHead(request, dependencies.usualTimeoutMs, receivedAt);
+        const arrival = { receivedAt, lagMs: dependencies.recentLag() };
+        const head = parseRequestHead(request, dependencies.usualTimeoutMs, arrival);
         if (either.isLeft(head)) {
             refuse(response, head.left, readRequestHeader(request, REQUEST_ID_HEADER));
             return;
--- a/packages/oleandergap-node/src/http/eventLoopLag.ts
+++ b/packages/oleandergap-node/src/http/eventLoopLag.ts
@@ -30,6 +30,8 @@
      * by now has been read.
      */
     readonly catchUp: () => Promise<void> | undefined;
+    /** Returns how long a request that is read now may have waited to be read; 0 unless the event loop lags. */
+    readonly recentLag: () => Milliseconds;
 }
 
 /** Minimum length of a pause that affects requests and is reported to operators. */
@@ -46,6 +48,8 @@
 
 export const createEventLoopLagMonitor = ({ clock, onPause, nextTurn }: EventLoopLagOptions): EventLoopLagMonitor => {
     let laggingUntil = Number.NEGATIVE_INFINITY;
+    /** Longest delay of a check since the process began to lag. */
+    let longestLagMs: Milliseconds = 0;
     /** Monotonic time at which the next check is due. */
     let nextCheckAt = Number.POSITIVE_INFINITY;
     let lastRequestAt = Number.NEGATIVE_INFINITY;
@@ -64,7 +68,9 @@
      * runs the timer of the check, and these are the requests that have waited longest.
      */
     const isLagging = (now: Milliseconds): boolean => {
-        if (now - nextCheckAt > LAG_THRESHOLD_MS) {
+        const lagMs = now - nextCheckAt;
+        if (lagMs > LAG_THRESHOLD_MS) {
+            longestLagMs = now < laggingUntil ? Math.max(longestLagMs, lagMs) : lagMs;
             laggingUntil = now + LAG_HOLD_MS;
         }
         return now < laggingUntil;
@@ -88,6 +94,7 @@
             lastRequestAt = clock.monotonic();
             return isLagging(lastRequestAt) ? waitForPendingInput(nextTurn) : undefined;
         },
+        recentLag: () => isLagging(clock.monotonic()) ? longestLagMs : 0,
     };
 };
 
