--- a/packages/oleandergap-node/src/__tests__/truncatedResponses.test.ts
+++ b/packages/oleandergap-node/src/__tests__/truncatedResponses.test.ts
@@ -94,7 +94,8 @@
 
     it("reports the longest recent lag, and none once the event loop keeps up again", async () => {
         const clock = createManualClock();
-        const lagMonitor = createEventLoopLagMonitor({ clock, nextTurn: async () => undefined, onPause: () => undefined });
+        const nextTurn = async (): Promise<void> => undefined;
+        const lagMonitor = createEventLoopLagMonitor({ clock, nextTurn, onPause: () => undefined });
         const abortController = new AbortController();
         lagMonitor.start(abortController.signal);
         await clock.advance(100);
