Gate: promoted requests are at most an eighth of the work that a target starts

Cause: the floor promises a relative share of requests, whatever they cost. Where the less urgent requests are several times as many, and as long, half as often is most of the target.

Change: no request is promoted while promoted ones are an eighth of the work that was started in about the last second.

--- a/packages/oleandergap-gate/src/__tests__/priorityFloor.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/priorityFloor.test.ts
@@ -18,7 +18,8 @@
     reason: RefusalReason = "DeadlineTooShort",
 ): void => {
     for (let count = 0; count < 100; count++) {
-        floor.recordDecision({ priority }, count < 100 * servedShare ? served : refuse(reason));
+        const decision = count < 100 * servedShare ? served : refuse(reason);
+        floor.recordDecision({ priority }, { offeredPriority: priority, workMs: 100, decision });
     }
 };
 
@@ -54,6 +55,18 @@
         expect(floor.choosePriority({ priority: 1 })).to.equal(1);
     });
 
+    it("promotes no request once promoted ones are an eighth of the work", () => {
+        const floor = createPriorityFloor(createManualClock());
+        record(floor, 0, 1);
+        record(floor, 1, 0);
+        let promotedWork = 0;
+        while (floor.choosePriority({ priority: 1 }) === 0) {
+            floor.recordDecision({ priority: 1 }, { offeredPriority: 0, workMs: 300, decision: served });
+            promotedWork += 300;
+        }
+        expect(promotedWork / (promotedWork + 100 * 100)).to.be.within(0.125, 0.16);
+    });
+
     it("counts the requests of each priority for operators", () => {
         const floor = createPriorityFloor(createManualClock());
         record(floor, 1, 0);
--- a/packages/oleandergap-gate/src/customerAdmission.ts
+++ b/packages/oleandergap-gate/src/customerAdmission.ts
@@ -50,13 +50,12 @@
             lastCustomerAt = arrivedAt;
         }
         if (arrivedAt - lastCustomerAt > SERVING_MS) {
+            const offeredPriority = priorityFloor.choosePriority(request);
             const decision = await decide({
-                ...request,
-                priority: priorityFloor.choosePriority(request),
-                isOverShare: false,
-                servesCustomers: false,
+                ...request, priority: offeredPriority, isOverShare: false, servesCustomers: false,
             });
-            priorityFloor.recordDecision(request, decision);
+            const workMs = forecast.holdingTime(request.kind ?? DEFAULT_KIND);
+            priorityFloor.recordDecision(request, { offeredPriority, workMs, decision });
             return decision;
         }
         const priority = choosePriority(request);
--- a/packages/oleandergap-gate/src/priorityFloor.ts
+++ b/packages/oleandergap-gate/src/priorityFloor.ts
@@ -3,7 +3,7 @@
  *
  * By priorities alone, less urgent requests get nothing for as long as that lasts. Among them may be calls of runs at
  * other targets: all these runs then hold a slot and fail. The gate therefore admits a request with a more urgent
- * priority while its own is served far less often.
+ * priority while its own is served far less often, as long as such requests take a small part of the target's time.
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Clock, Milliseconds, RefusalReason } from "oleandergap-types";
@@ -18,11 +18,16 @@
 const SUFFICIENT_RELATIVE_SHARE = 0.5;
 /** Served share of a priority from which on its requests are not promoted: most callers that return are served. */
 const SUFFICIENT_SHARE = 1 / 3;
+/** Maximum part of the started work that promoted requests may be, so that more urgent ones lose little. */
+const MAXIMUM_PROMOTED_PART = 1 / 8;
 /** Time constant of the counts. It covers some dozens of requests of a priority at a target with a dozen slots. */
 const TIME_CONSTANT_MS: Milliseconds = 1000;
 /** Number of requests, after their decay, below which a priority counts as not in use. */
 const NEGLIGIBLE_REQUESTS = 0.01;
 
+/** Kind of the counters of all work together. */
+const ALL_WORK = "";
+
 /** Reasons of refusals that say nothing about the capacity of the target. */
 const OTHER_REASONS: ReadonlySet<RefusalReason> = new Set(["Cancelled", "Draining", "NotReady"]);
 
@@ -35,6 +40,21 @@
     refused: number;
 }
 
+/** Work that was started lately; it decays. */
+interface StartedWork {
+    totalMs: Milliseconds;
+    promotedMs: Milliseconds;
+}
+
+/** How a request was offered to the target, and what came of it. */
+export interface OfferedDecision {
+    /** Priority with which the request was offered. */
+    readonly offeredPriority: number;
+    /** Time for which the request would occupy a slot. */
+    readonly workMs: Milliseconds;
+    readonly decision: Decision;
+}
+
 type Writable<Counts> = { -readonly [Name in keyof Counts]: Counts[Name] };
 
 /** Chooses the priorities with which requests are admitted. */
@@ -42,7 +62,7 @@
     /** Returns the priority of a request, or a more urgent one if its own is served too rarely. */
     readonly choosePriority: (request: OwnPriority) => number;
     /** Records whether a request was admitted. */
-    readonly recordDecision: (request: OwnPriority, decision: Decision) => void;
+    readonly recordDecision: (request: OwnPriority, offered: OfferedDecision) => void;
     /** Returns the requests of each priority since the start, the most urgent first. */
     readonly listCounts: () => readonly PriorityCounts[];
 }
@@ -61,6 +81,15 @@
             recent.refused *= factor;
         },
     });
+    const getStartedWork = createDecayingCounters<StartedWork>({
+        clock,
+        timeConstantMs: TIME_CONSTANT_MS,
+        create: () => ({ totalMs: 0, promotedMs: 0 }),
+        scale: (work, factor) => {
+            work.totalMs *= factor;
+            work.promotedMs *= factor;
+        },
+    });
     const countsByPriority = new Map<number, Writable<PriorityCounts>>();
 
     const getCounts = (priority: number): Writable<PriorityCounts> => {
@@ -81,10 +110,15 @@
         return moreUrgentShare !== undefined && ownShare < SUFFICIENT_RELATIVE_SHARE * moreUrgentShare;
     };
 
+    const mayPromote = (): boolean => {
+        const { totalMs, promotedMs } = getStartedWork(ALL_WORK);
+        return promotedMs <= MAXIMUM_PROMOTED_PART * totalMs;
+    };
+
     return {
         choosePriority: ({ priority = 0 }) => {
             const ownShare = computeServedShare(priority);
-            if (ownShare === undefined || ownShare >= SUFFICIENT_SHARE) {
+            if (ownShare === undefined || ownShare >= SUFFICIENT_SHARE || !mayPromote()) {
                 return priority;
             }
             const chosen = [...countsByPriority.keys()]
@@ -95,13 +129,18 @@
             }
             return chosen;
         },
-        recordDecision: ({ priority = 0 }, decision) => {
+        recordDecision: ({ priority = 0 }, { offeredPriority, workMs, decision }) => {
             if (!isForCapacity(decision)) {
                 return;
             }
             const outcome = either.isRight(decision) ? "served" : "refused";
             getRecent(String(priority))[outcome] += 1;
             getCounts(priority)[outcome] += 1;
+            if (either.isRight(decision)) {
+                const work = getStartedWork(ALL_WORK);
+                work.totalMs += workMs;
+                work.promotedMs += offeredPriority === priority ? 0 : workMs;
+            }
         },
         listCounts: () => [...countsByPriority.values()].sort((left, right) => left.priority - right.priority),
     };
