--- a/packages/oleandergap-gate/src/priorityFloor.ts
+++ b/packages/oleandergap-gate/src/priorityFloor.ts
@@ -110,6 +110,7 @@
         return moreUrgentShare !== undefined && ownShare < SUFFICIENT_RELATIVE_SHARE * moreUrgentShare;
     };
 
+    /** Returns whether promoted requests leave the more urgent ones most of the target's time. */
     const mayPromote = (): boolean => {
         const { totalMs, promotedMs } = getStartedWork(ALL_WORK);
         return promotedMs <= MAXIMUM_PROMOTED_PART * totalMs;
