--- a/packages/oleandergap-gate/src/priorityFloor.ts
+++ b/packages/oleandergap-gate/src/priorityFloor.ts
@@ -12,8 +12,8 @@
 import type { Decision } from "./refusals.js";
 
 /**
- * Served share of a priority, as a part of that of a more urgent one, from which on its requests are not promoted. The
- * entry nodes refuse part of the requests of a priority that is refused often, so that callers see about half of it.
+ * Served share of a priority, as a part of that of a more urgent one, from which on its requests are not promoted. It
+ * counts requests that reach the gate; entry nodes refuse more of those that are refused often, so callers see less.
  */
 const SUFFICIENT_RELATIVE_SHARE = 0.5;
 /** Served share of a priority from which on its requests are not promoted: most callers that return are served. */
