--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -12,6 +12,7 @@
     const waiting = new Set();
     let version = 0;
     let era = 1;
+    let isAway = false;
 
     const findTable = (name) => {
         const table = tables.get(name) ?? new Map();
@@ -80,6 +81,10 @@
     const feedRows = (response, query) => {
         const table = query.get("table");
         const after = Number(query.get("after"));
+        if (after > version) {
+            send(response, 410, stamp());
+            return;
+        }
         const answer = (isLast) => {
             const newest = new Map();
             for (const row of log) {
@@ -135,6 +140,10 @@
         request.on("data", (chunk) => chunks.push(chunk));
         request.on("error", () => undefined);
         request.on("end", () => setTimeout(() => {
+            if (isAway) {
+                send(response, 503, {});
+                return;
+            }
             const url = new URL(request.url, "http://store");
             const bytes = Buffer.concat(chunks);
             switch (url.pathname) {
@@ -162,6 +171,32 @@
         port: server.address().port,
         set: (table, key, value) =>
             commit([{ table, key, value: Buffer.from(JSON.stringify(value)).toString("base64") }], []),
+        /** Returns the value of a row; undefined if there is none. */
+        get: (table, key) => {
+            const row = findTable(table).get(`\0${key}`);
+            return row === undefined ? undefined : JSON.parse(Buffer.from(row.value, "base64").toString("utf8"));
+        },
+        /** Returns a copy from which the store can come back. */
+        copy: () => ({
+            version,
+            rows: log.length,
+            tables: [...tables].map(([name, rows]) => [name, new Map(rows)]),
+        }),
+        /** Is away for a moment, and comes back from a copy. */
+        restore: async (copied, awayMs) => {
+            isAway = true;
+            for (const wake of [...waiting]) {
+                waiting.delete(wake);
+            }
+            server.closeAllConnections();
+            await new Promise((later) => setTimeout(later, awayMs));
+            tables.clear();
+            copied.tables.forEach(([name, rows]) => tables.set(name, new Map(rows)));
+            log.length = copied.rows;
+            version = copied.version;
+            era += 1;
+            isAway = false;
+        },
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -84,7 +84,7 @@
  * Starts a worker. `run` is called for each request that expects this worker and resolves with the bytes to write;
  * undefined if it has written to the socket itself.
  */
-export const startWorker = (machine, { id, service = machine.service, slots = 12, run, onHead, onConnection }) =>
+export const startWorker = (machine, { id, service = machine.service, slots = 12, version = "v1", run, onHead, onConnection }) =>
     new Promise((resolve) => {
         const sockets = new Set();
         const state = { id, seq: 0, state: "ready", isBeating: true, bornAt: Date.now() };
@@ -115,7 +115,7 @@
             state.seq += 1;
             return send(machine.ip, machine.ports.control, "POST", `/v1/rpc?call=instances.heartbeat&of=${state.id}`,
                 JSON.stringify({
-                    service, address: `${machine.ip}:${machine.ports.app}`, zone: machine.zone, version: "v1", slots,
+                    service, address: `${machine.ip}:${machine.ports.app}`, zone: machine.zone, version, slots,
                     state: state.state, cold_left: "0ms", seq: state.seq,
                 }));
         };
