--- a/review/standins/fleet.mjs
+++ b/review/standins/fleet.mjs
@@ -1,6 +1,6 @@
 // Starts daemons with the command of the deploy file, each with the settings of one machine of a small deployment.
 import { spawn } from "node:child_process";
-import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
 import net from "node:net";
 import { tmpdir } from "node:os";
@@ -93,6 +93,11 @@
     return { folder, machines, remove: () => rmSync(folder, { recursive: true, force: true }) };
 };
 
+/** Processes that were started. They end with the script, also when it is told to stop. */
+const children = new Set();
+process.on("exit", () => children.forEach((child) => child.kill("SIGKILL")));
+process.on("SIGTERM", () => process.exit(2));
+
 /** Starts the daemon of a machine. */
 export const startNode = (machine) => {
     const [program, ...args] = readCommand();
@@ -104,7 +109,12 @@
             PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, OLEANDERGAP_CONFIG: machine.file,
         },
     });
-    const exited = new Promise((resolve) => child.on("exit", (code, signal) => resolve({ code, signal })));
+    children.add(child);
+    const exited = new Promise((resolve) => child.on("exit", (code, signal) => {
+        children.delete(child);
+        closeSync(log);
+        resolve({ code, signal });
+    }));
     return {
         pid: child.pid,
         exited,
