Roll-outs: an order that is found again after a restore begins no second roll-out

Cause: the id of the operator's order contained the era of the store. A restored store returns the same row in a later era, so that the old order was a new one: a `completed` roll-out became `running` again, with no old version to compare or to return to, and a `rolledBack` one put its bad version on trial once more. What the drill had lost and the operator wrote again had another version of the row, and was a new order in the same way.

Change: a new position in the store is not a new order. The adapter tells orders that were given while it was reading (an earlier row of the key was seen in the same era) from those it found: at its start, after a restore, or lost and written again. A found order begins a roll-out only if neither the fleet nor the platform's table has, or had, one of the same content.

An order given once more by the operator still begins anew.

--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -19,14 +19,22 @@
 import type { NodeOptions } from "./options.js";
 import type { LocalTargetManager } from "./target/localTargetManager.js";
 
+/** Listeners to the orders of roll-outs. */
+export interface OrderListeners {
+    /** Runs for an order that the operator gave while this process was reading the orders. */
+    readonly onGiven: (order: RolloutOrder) => void;
+    /** Runs for an order that was there when this process read the orders for the first time, or after a restore. */
+    readonly onFound: (order: RolloutOrder) => void;
+}
+
 /** The services of the platform that a node uses. */
 export interface PlatformPorts {
     readonly tableService: TableServiceClient;
     readonly objectStore: ObjectStoreClient;
     /** Source of the accepted configuration versions. */
     readonly source: ConfigurationSource;
-    /** Calls the listener with each roll-out that the platform's operator orders. Absent if it orders none. */
-    readonly subscribeToOrders?: (listener: (order: RolloutOrder) => void) => void;
+    /** Calls the listeners with each roll-out that the platform's operator orders. Absent if it orders none. */
+    readonly subscribeToOrders?: (listeners: OrderListeners) => void;
 }
 
 /** Dependencies of the platform ports. */
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -130,7 +130,8 @@
         readiness,
     });
     store.subscribe(requestPath.target.refreshLimit);
-    platform.subscribeToOrders?.(controlPlane.rollouts.submit);
+    const { rollouts } = controlPlane;
+    platform.subscribeToOrders?.({ onGiven: rollouts.submit, onFound: rollouts.submitFound });
     openProcessorProfile({ options, clock, logger: createLogger("profile"), signal });
     addNodeGauges(metrics, { controlPlane, requestPath, peerAccess, tableService, objectStore, readiness });
 
--- a/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
+++ b/packages/oleandergap-rollout/src/exchange/rolloutStore.ts
@@ -1,7 +1,7 @@
 /** The roll-outs and reports that one node has received or created. */
 import { formatServiceReference, type Milliseconds, type NodeId, type ServiceReference } from "oleandergap-types";
 import { isNewerReport, type ReceivedReport, type TargetReport, type TargetReports } from "../judge/tally.js";
-import { mergeRollout, type Rollout } from "../rollout.js";
+import { hasSameContent, mergeRollout, type Rollout, type RolloutOrder } from "../rollout.js";
 import { getReportSize, MAX_REPORT_PARTS } from "./rolloutMessage.js";
 
 /**
@@ -9,6 +9,8 @@
  * enough for all reports of a service with sixty targets.
  */
 const PARTS_PER_ROUND = 2 * MAX_REPORT_PARTS;
+/** Number of replaced orders that are kept for each service, to recognise them when they are found again. */
+const MAX_REPLACED_ORDERS = 8;
 
 /** A roll-out and the reports of its service's targets. */
 export interface RolloutRecord {
@@ -26,6 +28,8 @@
     rollout: Rollout;
     reports: Map<NodeId, StoredReport>;
     revision: number;
+    /** Orders that this one has replaced, the latest first. */
+    readonly replacedOrders: readonly RolloutOrder[];
 }
 
 /** Stores one roll-out per service. */
@@ -36,6 +40,8 @@
     readonly addReport: (rolloutId: string, report: TargetReport, now: Milliseconds) => boolean;
     readonly find: (service: ServiceReference) => RolloutRecord | undefined;
     readonly findById: (rolloutId: string) => RolloutRecord | undefined;
+    /** Returns whether an order with this content is stored, or was until a later order replaced it. */
+    readonly hasOrder: (order: RolloutOrder) => boolean;
     readonly list: () => readonly RolloutRecord[];
     /**
      * Returns reports of a roll-out that were not sent on yet, those of the new version first, and marks them as sent.
@@ -69,10 +75,19 @@
             record.revision += 1;
             return isNewState ? merged : undefined;
         }
-        stored.set(key, { rollout: merged, reports: new Map(), revision: 0 });
+        const replacedOrders = record === undefined ?
+            [] :
+            [record.rollout.order, ...record.replacedOrders].slice(0, MAX_REPLACED_ORDERS);
+        stored.set(key, { rollout: merged, reports: new Map(), revision: 0, replacedOrders });
         return merged;
     };
 
+    const hasOrder: RolloutStore["hasOrder"] = (order) => {
+        const record = stored.get(formatServiceReference(order.service));
+        return record !== undefined &&
+            [record.rollout.order, ...record.replacedOrders].some((known) => hasSameContent(known, order));
+    };
+
     const addReport: RolloutStore["addReport"] = (rolloutId, report, now) => {
         const record = findById(rolloutId);
         const previous = record?.reports.get(report.node)?.report;
@@ -109,6 +124,7 @@
         addReport,
         find: (service) => stored.size === 0 ? undefined : stored.get(formatServiceReference(service)),
         findById,
+        hasOrder,
         list: () => [...stored.values()],
         takeReports,
     };
--- a/packages/oleandergap-rollout/src/index.ts
+++ b/packages/oleandergap-rollout/src/index.ts
@@ -15,6 +15,7 @@
 export type { TargetReport, TargetReports } from "./judge/tally.js";
 export { defaultRolloutOptions, rolloutOptionsSchema, type RolloutOptions } from "./options.js";
 export {
+    hasSameContent,
     isFinal,
     isSameService,
     rolloutOrderSchema,
--- a/packages/oleandergap-rollout/src/rollout.ts
+++ b/packages/oleandergap-rollout/src/rollout.ts
@@ -70,6 +70,15 @@
 export const isSameService = (left: ServiceReference, right: ServiceReference): boolean =>
     left.partner === right.partner && left.service === right.service;
 
+/**
+ * Returns whether two orders ask for the same: the same version for the same service within the same time. Their ids
+ * differ if the operator wrote the order twice.
+ */
+export const hasSameContent = (left: RolloutOrder, right: RolloutOrder): boolean =>
+    isSameService(left.service, right.service) &&
+    left.version === right.version &&
+    left.durationMs === right.durationMs;
+
 /**
  * Combines the records of two nodes on the roll-out of a service. The later order replaces the earlier one. For the
  * same order, the later state applies, and the earliest time at which a node received the order.
--- a/packages/oleandergap-rollout/src/rollouts.ts
+++ b/packages/oleandergap-rollout/src/rollouts.ts
@@ -4,6 +4,7 @@
 import type { Clock, Milliseconds, NodeId, ServiceReference, TableService } from "oleandergap-types";
 import { drawBackoff, type Random } from "oleandergap-utils";
 import { createDecider } from "./decision/decider.js";
+import { createFoundOrders } from "./decision/foundOrders.js";
 import { createRolloutRows } from "./decision/rolloutRows.js";
 import { createRolloutGossip, type RolloutNetwork } from "./exchange/rolloutGossip.js";
 import type { RolloutMessage } from "./exchange/rolloutMessage.js";
@@ -45,8 +46,10 @@
     /** Starts to ask other nodes for the roll-outs of the fleet. */
     readonly start: () => void;
     readonly receive: (from: Peer, message: RolloutMessage) => void;
-    /** Starts a roll-out. Does nothing if the order was received before. */
+    /** Starts a roll-out for an order that the operator has just given, unless the order was received before. */
     readonly submit: (order: RolloutOrder) => void;
+    /** Starts a roll-out for an order that was found in the operator's table, unless there is or was one for it. */
+    readonly submitFound: (order: RolloutOrder) => void;
     /** Stops a roll-out that is under way. */
     readonly abort: (rolloutId: string, reason: string) => void;
     /** Returns whether any order was received. If not, requests need no further checks. */
@@ -124,6 +127,15 @@
         signal,
     });
 
+    const foundOrders = createFoundOrders({
+        clock,
+        isInformed: gossip.isInformed,
+        hasOrder: store.hasOrder,
+        loadRollouts,
+        apply: decider.apply,
+        signal,
+    });
+
     return {
         start: gossip.start,
         receive: gossip.receive,
@@ -133,6 +145,7 @@
                 decider.apply({ order, orderedAt: now, state: "running", since: now, reason: "ordered" });
             }
         },
+        submitFound: foundOrders.add,
         abort: (rolloutId, reason) => {
             const record = store.findById(rolloutId);
             if (record !== undefined && !isFinal(record.rollout.state)) {
