Roll-outs: states that a restore of the store has lost are written again

What callers would see: after a restart of all nodes behind a drill that lost `completed`, the roll-out of a service whose old targets are gone begins where the copy stood: on trial, or timed out and refused.

Cause: the rows of roll-outs were the only record that nobody looked at after a restore. Nodes wrote a state once and held it in memory from then on; the operator's status went back with the copy and stayed there (`completed` to `running`).

Change: EraWatch tells its subscribers of a restore; each node that hears of it checks the row of each roll-out that it holds within 0.3 s, and writes its state if the row has none, or an earlier one. The condition on the row stands as before: a later state or a later order in the table is taken over.

Cost: one read for each roll-out and node that reads the store, once a restore.

--- a/packages/oleandergap-node/src/adapters.ts
+++ b/packages/oleandergap-node/src/adapters.ts
@@ -35,6 +35,8 @@
     readonly source: ConfigurationSource;
     /** Calls the listeners with each roll-out that the platform's operator orders. Absent if it orders none. */
     readonly subscribeToOrders?: (listeners: OrderListeners) => void;
+    /** Calls the listener after the platform's table was restored from a backup. */
+    readonly subscribeToRestores: (listener: () => void) => void;
 }
 
 /** Dependencies of the platform ports. */
@@ -92,7 +94,12 @@
             counters: () => ({ ...tableClient.counters(), ...tableEras.watch.counters() }),
         };
         const objectStore = createObjectStoreClient({ ...objectOptions, clock, signal, eras: objectEras });
-        return { tableService, objectStore, source: createConfigurationSource({ tableService, objectStore }) };
+        return {
+            tableService,
+            objectStore,
+            source: createConfigurationSource({ tableService, objectStore }),
+            subscribeToRestores: tableEras.watch.subscribe,
+        };
     },
     callerService: undefined,
     createListeners: () => [],
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -132,6 +132,7 @@
     store.subscribe(requestPath.target.refreshLimit);
     const { rollouts } = controlPlane;
     platform.subscribeToOrders?.({ onGiven: rollouts.submit, onFound: rollouts.submitFound });
+    platform.subscribeToRestores(rollouts.handleRestore);
     openProcessorProfile({ options, clock, logger: createLogger("profile"), signal });
     addNodeGauges(metrics, { controlPlane, requestPath, peerAccess, tableService, objectStore, readiness });
 
--- a/packages/oleandergap-platform/src/__tests__/eraWatch.test.ts
+++ b/packages/oleandergap-platform/src/__tests__/eraWatch.test.ts
@@ -33,6 +33,13 @@
         expect(watch.counters()).to.deep.equal({ storeRestores: 2, answersOutOfEra: 0 });
     });
 
+    it("calls its listeners after each restore, when the new era is the newest", () => {
+        const eras: (number | undefined)[] = [];
+        watch.subscribe(() => eras.push(watch.newest()));
+        noteEras(["3", "3", "4", "later", "3", "6"]);
+        expect(eras).to.deep.equal([4, 6]);
+    });
+
     for (const text of ["", " ", "-1", "+2", "2.5", "1e3", "0x2", "later", "2, 3", "NaN", "9".repeat(16)]) {
         it(`rejects responses with the unreadable era "${text}" and logs the error once`, () => {
             expect(noteEras(["1", text, text, "1", "2"])).to.deep.equal([1, "UnreadableEra", "UnreadableEra", 1, 2]);
--- a/packages/oleandergap-platform/src/eraWatch.ts
+++ b/packages/oleandergap-platform/src/eraWatch.ts
@@ -32,6 +32,8 @@
      */
     readonly note: (text: string | undefined) => Either<EraError, StoreEra>;
     readonly counters: () => EraCounters;
+    /** Calls the listener after each restore of the store that this process has detected. */
+    readonly subscribe: (listener: () => void) => void;
 }
 
 /** Decimal digits only; 15 digits are represented exactly by a number. */
@@ -51,6 +53,7 @@
     let newest: StoreEra | undefined;
     const counters = { storeRestores: 0, answersOutOfEra: 0 };
     const loggedKinds = new Set<EraError["kind"]>();
+    const listeners: (() => void)[] = [];
 
     const reject = (error: EraError): Either<EraError, never> => {
         counters.answersOutOfEra += 1;
@@ -62,7 +65,8 @@
     };
 
     const advance = (era: StoreEra): void => {
-        if (newest !== undefined && era > newest) {
+        const isRestored = newest !== undefined && era > newest;
+        if (isRestored) {
             counters.storeRestores += 1;
             logger.warn("The store was restored from a backup; missing data will be read and written again.", {
                 era,
@@ -70,6 +74,9 @@
             });
         }
         newest = era;
+        if (isRestored) {
+            listeners.forEach((listener) => listener());
+        }
     };
 
     return {
@@ -86,5 +93,8 @@
             return either.right(era);
         },
         counters: () => ({ ...counters }),
+        subscribe: (listener) => {
+            listeners.push(listener);
+        },
     };
 };
--- a/packages/oleandergap-rollout/src/decision/decider.ts
+++ b/packages/oleandergap-rollout/src/decision/decider.ts
@@ -33,6 +33,8 @@
     readonly apply: (rollout: Rollout) => void;
     /** Handles a roll-out that has changed in the store. */
     readonly handleChange: (rollout: Rollout) => void;
+    /** Writes the roll-outs that the platform's table has lost, or of which it has an earlier state. */
+    readonly restoreRows: () => void;
     /** Does what is due for a roll-out according to the verdict. */
     readonly decide: (record: RolloutRecord, verdict: RolloutVerdict) => void;
 }
@@ -54,8 +56,8 @@
 /** Creates a decider without work. */
 export const createDecider = (dependencies: DeciderDependencies): Decider => {
     const { clock, random, logger, options, store, rows, findZoneRank, getVerdict, broadcast, signal } = dependencies;
-    /** Orders whose row this node has to create. */
-    const unstoredOrders = new Set<string>();
+    /** Roll-outs whose present state may be missing in the platform's table and has to be written by this node. */
+    const unconfirmedRollouts = new Set<string>();
 
     /** Returns a roll-out with the state that has to be written for it. */
     const toDue = (rollout: Rollout, state: Rollout["state"], reason: string, now: Milliseconds): Rollout =>
@@ -63,10 +65,14 @@
 
     const findDue = (rolloutId: string): Rollout | undefined => {
         const record = store.findById(rolloutId);
-        if (record === undefined || isFinal(record.rollout.state)) {
+        if (record === undefined) {
             return undefined;
         }
         const { rollout } = record;
+        const unconfirmed = unconfirmedRollouts.has(rolloutId) ? rollout : undefined;
+        if (isFinal(rollout.state)) {
+            return unconfirmed;
+        }
         const now = clock.monotonic();
         if (rollout.state === "stopping") {
             return toDue(rollout, rollout.state, rollout.reason, now);
@@ -75,7 +81,7 @@
         if (change !== undefined) {
             return toDue(rollout, change.state, change.reason, now);
         }
-        return unstoredOrders.has(rolloutId) ? rollout : undefined;
+        return unconfirmed;
     };
 
     const handleChange: Decider["handleChange"] = (rollout) => {
@@ -86,7 +92,7 @@
         });
         const mustCreateRow = state === "running" && findZoneRank() !== undefined;
         if (mustCreateRow) {
-            unstoredOrders.add(order.id);
+            unconfirmedRollouts.add(order.id);
         }
         if (mustCreateRow || state === "stopping") {
             stateWriter.start(order.id);
@@ -109,7 +115,7 @@
         findZoneRank,
         findDue,
         onStored: (rollout) => {
-            unstoredOrders.delete(rollout.order.id);
+            unconfirmedRollouts.delete(rollout.order.id);
             apply(rollout);
         },
         signal,
@@ -118,6 +124,10 @@
     return {
         apply,
         handleChange,
+        restoreRows: () => store.list().forEach(({ rollout: { order } }) => {
+            unconfirmedRollouts.add(order.id);
+            stateWriter.startSoon(order.id);
+        }),
         decide: (record, verdict) => {
             const { rollout } = record;
             const now = clock.monotonic();
--- a/packages/oleandergap-rollout/src/decision/stateWriter.ts
+++ b/packages/oleandergap-rollout/src/decision/stateWriter.ts
@@ -17,6 +17,11 @@
 const ZONE_DELAY_MS: Milliseconds = 300;
 /** Minimum wait of every other node. A random time up to the same length is added. */
 const OTHER_NODES_DELAY_MS: Milliseconds = 1500;
+/**
+ * Time over which the nodes spread their writes after a restore of the platform. It is short, because a restart of all
+ * nodes before the first of these writes would lose the states.
+ */
+const RESTORE_SPREAD_MS: Milliseconds = 300;
 
 /** Dependencies of a state writer. */
 export interface StateWriterDependencies {
@@ -37,6 +42,8 @@
 export interface StateWriter {
     /** Starts to write what is due for a roll-out. Does nothing while an earlier start is still at work. */
     readonly start: (rolloutId: string) => void;
+    /** Starts like `start`, after a short random delay that is alike at all nodes. */
+    readonly startSoon: (rolloutId: string) => void;
 }
 
 /** State that is written for a state that a node has found due. */
@@ -67,20 +74,23 @@
         return isFinal(result.rollout.state) || findDue(rolloutId) === undefined;
     };
 
-    const run = async (rolloutId: string): Promise<void> => {
-        await clock.sleep(computeFirstDelay(), signal);
+    const run = async (rolloutId: string, firstDelayMs: Milliseconds): Promise<void> => {
+        await clock.sleep(firstDelayMs, signal);
         for (let failures = 0; !signal.aborted && !await tryOnce(rolloutId); failures++) {
             const maximum = findZoneRank() === undefined ? OTHER_NODES_BACKOFF_MAXIMUM_MS : BACKOFF_MAXIMUM_MS;
             await clock.sleep(drawBackoff(random, failures, BACKOFF_BASE_MS, maximum), signal);
         }
     };
 
+    const startAfter = (rolloutId: string, firstDelayMs: Milliseconds): void => {
+        if (!active.has(rolloutId)) {
+            active.add(rolloutId);
+            void run(rolloutId, firstDelayMs).finally(() => active.delete(rolloutId));
+        }
+    };
+
     return {
-        start: (rolloutId) => {
-            if (!active.has(rolloutId)) {
-                active.add(rolloutId);
-                void run(rolloutId).finally(() => active.delete(rolloutId));
-            }
-        },
+        start: (rolloutId) => startAfter(rolloutId, computeFirstDelay()),
+        startSoon: (rolloutId) => startAfter(rolloutId, RESTORE_SPREAD_MS * random()),
     };
 };
--- a/packages/oleandergap-rollout/src/rollouts.ts
+++ b/packages/oleandergap-rollout/src/rollouts.ts
@@ -50,6 +50,8 @@
     readonly submit: (order: RolloutOrder) => void;
     /** Starts a roll-out for an order that was found in the operator's table, unless there is or was one for it. */
     readonly submitFound: (order: RolloutOrder) => void;
+    /** Writes what the platform's table has lost, after it was restored from a backup. */
+    readonly handleRestore: () => void;
     /** Stops a roll-out that is under way. */
     readonly abort: (rolloutId: string, reason: string) => void;
     /** Returns whether any order was received. If not, requests need no further checks. */
@@ -146,6 +148,7 @@
             }
         },
         submitFound: foundOrders.add,
+        handleRestore: decider.restoreRows,
         abort: (rolloutId, reason) => {
             const record = store.findById(rolloutId);
             if (record !== undefined && !isFinal(record.rollout.state)) {
