Roll-outs: a version that is the only one left is completed, not rolled back, when its time is over

Cause: a roll-out that runs out of time returns to the old version, whether or not one is there. A node also decided so at once after its start, before any target had reported its version.

A version that was judged bad is rolled back as before, and so is one beside which any other version was reported.

--- a/packages/oleandergap-node/src/control/peerExchange.ts
+++ b/packages/oleandergap-node/src/control/peerExchange.ts
@@ -4,7 +4,7 @@
 import { createContainment, type Containment, type EvidenceMessage } from "oleandergap-containment";
 import type { FleetPort } from "oleandergap-distribution";
 import type { Contact, MessageTransport } from "oleandergap-membership";
-import { createRollouts, type RolloutMessage, type Rollouts } from "oleandergap-rollout";
+import { createRollouts, type RolloutMessage, type Rollouts, type RolloutsDependencies } from "oleandergap-rollout";
 import type { GossipPeers } from "oleandergap-utils";
 import type { ControlPlaneDependencies } from "../createControlPlane.js";
 
@@ -39,10 +39,14 @@
     return containment;
 };
 
+/** Dependencies of the roll-outs of a node. */
+export interface NodeRolloutsDependencies extends ControlPlaneDependencies,
+    Pick<RolloutsDependencies<Contact>, "listTargets"> {}
+
 /** Creates the roll-outs of a node and connects them to their datagrams. */
 export const createNodeRollouts = (
-    { options, backgroundClock, random, createPartLogger, tableService, findLocalTarget, signal }:
-    ControlPlaneDependencies,
+    { options, backgroundClock, random, createPartLogger, tableService, findLocalTarget, listTargets, signal }:
+    NodeRolloutsDependencies,
     network: PeerNetwork,
     transport: MessageTransport<RolloutMessage>,
 ): Rollouts<Contact> => {
@@ -58,6 +62,7 @@
         findZoneRank: () => network.isFirstInZone() ? countEarlierZones() : undefined,
         tableService,
         findLocalTarget,
+        listTargets,
         signal,
     });
     transport.onMessage(rollouts.receive);
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -174,7 +174,10 @@
     spreadTransport.onMessage(spread.receive);
     const peerNetwork = createPeerNetwork(fleet);
     const containment = createNodeContainment(dependencies, peerNetwork, evidenceTransport);
-    const rollouts = createNodeRollouts(dependencies, peerNetwork, rolloutTransport);
+    const rollouts = createNodeRollouts({
+        ...dependencies,
+        listTargets: (service) => directory.targetsOf(service, listServiceZones(service)),
+    }, peerNetwork, rolloutTransport);
     const quota = createNodeQuota({ ...dependencies, self, membership, store, transport: quotaTransport });
     // Contacts are searched for in all zones that the tables contain, whether or not a zone has a seed node.
     store.subscribe(() => {
--- a/packages/oleandergap-rollout/src/__tests__/plan.test.ts
+++ b/packages/oleandergap-rollout/src/__tests__/plan.test.ts
@@ -7,7 +7,7 @@
 import { createOrder, createReport, createRollout, toReports } from "./support.js";
 
 const options = defaultRolloutOptions;
-const CAPACITY = { newSlots: 60, oldSlots: 60, oldInFlight: 0 };
+const CAPACITY = { newSlots: 60, oldSlots: 60, oldInFlight: 0, hasOtherTargets: true, isSettled: true };
 
 describe("the limiter of a share", () => {
     it("never sends more than its share to the new version, however requests and targets come", () => {
@@ -67,6 +67,19 @@
         expect(change?.state).to.equal("stopping");
     });
 
+    it("completes a version that was not judged in time when no other one is left to return to", () => {
+        const capacity = { ...CAPACITY, oldSlots: 0, hasOtherTargets: false };
+        const plan = (changes: Partial<typeof CAPACITY>): string | undefined =>
+            planChange(createRollout(), { kind: "Undecided" }, { ...capacity, ...changes }, 11_000, options)?.state;
+        expect(plan({})).to.equal("completed");
+        expect(plan({ newSlots: 0 })).to.equal("stopping");
+    });
+
+    it("does not end for lack of time at a node that has only just received it", () => {
+        const capacity = { ...CAPACITY, isSettled: false };
+        expect(planChange(createRollout(), { kind: "Undecided" }, capacity, 11_000, options)).to.equal(undefined);
+    });
+
     it("completes once the old targets have finished their requests, at the latest before the deadline", () => {
         const rollout = createRollout({ state: "promoting", since: 8000 });
         const plan = (oldInFlight: number, now: number): string | undefined =>
--- a/packages/oleandergap-rollout/src/decision/decider.ts
+++ b/packages/oleandergap-rollout/src/decision/decider.ts
@@ -1,11 +1,13 @@
 /** Decides on the states of roll-outs and has them written to the platform's table. */
 import type { Logger } from "oleandergap-logger";
-import { formatServiceReference, type Clock, type Milliseconds } from "oleandergap-types";
+import { formatServiceReference, type Clock, type Milliseconds, type ServiceReference } from "oleandergap-types";
 import type { Random } from "oleandergap-utils";
 import type { RolloutRecord, RolloutStore } from "../exchange/rolloutStore.js";
 import type { RolloutVerdict } from "../judge/judge.js";
 import type { RolloutOptions } from "../options.js";
+import { measureCapacity } from "../plan/capacity.js";
 import { planChange, type RolloutCapacity } from "../plan/plan.js";
+import type { SplitTarget } from "../plan/targetSplit.js";
 import { isFinal, type Rollout } from "../rollout.js";
 import type { RolloutRows } from "./rolloutRows.js";
 import { createStateWriter, toStoredState } from "./stateWriter.js";
@@ -22,6 +24,10 @@
     readonly findZoneRank: () => number | undefined;
     /** Returns the latest verdict of this node. */
     readonly getVerdict: (rollout: Rollout) => RolloutVerdict;
+    /** Returns the time since which this node has followed the roll-out. */
+    readonly getFollowedSince: (rollout: Rollout) => Milliseconds;
+    /** Returns the targets of a service as this node lists them. */
+    readonly listTargets: (service: ServiceReference) => readonly SplitTarget[];
     /** Sends a roll-out that is new in the store to other nodes. */
     readonly broadcast: (rollout: Rollout) => void;
     readonly signal: AbortSignal;
@@ -39,26 +45,19 @@
     readonly decide: (record: RolloutRecord, verdict: RolloutVerdict) => void;
 }
 
-const measureCapacity = ({ rollout, reports }: RolloutRecord): RolloutCapacity => {
-    const capacity = { newSlots: 0, oldSlots: 0, oldInFlight: 0 };
-    for (const { report } of reports.values()) {
-        if (report.version === rollout.order.version) {
-            capacity.newSlots += report.slots;
-        }
-        else {
-            capacity.oldSlots += report.slots;
-            capacity.oldInFlight += report.inFlight;
-        }
-    }
-    return capacity;
-};
-
 /** Creates a decider without work. */
 export const createDecider = (dependencies: DeciderDependencies): Decider => {
-    const { clock, random, logger, options, store, rows, findZoneRank, getVerdict, broadcast, signal } = dependencies;
+    const { clock, random, logger, options, store, rows, findZoneRank, broadcast, signal } = dependencies;
+    const { getVerdict, getFollowedSince, listTargets } = dependencies;
     /** Roll-outs whose present state may be missing in the platform's table and has to be written by this node. */
     const unconfirmedRollouts = new Set<string>();
 
+    const measure = (record: RolloutRecord, now: Milliseconds): RolloutCapacity => measureCapacity(
+        record,
+        listTargets(record.rollout.order.service),
+        now - getFollowedSince(record.rollout),
+    );
+
     /** Returns a roll-out with the state that has to be written for it. */
     const toDue = (rollout: Rollout, state: Rollout["state"], reason: string, now: Milliseconds): Rollout =>
         ({ ...rollout, state: toStoredState(state), since: now, reason });
@@ -77,7 +76,7 @@
         if (rollout.state === "stopping") {
             return toDue(rollout, rollout.state, rollout.reason, now);
         }
-        const change = planChange(rollout, getVerdict(rollout), measureCapacity(record), now, options);
+        const change = planChange(rollout, getVerdict(rollout), measure(record, now), now, options);
         if (change !== undefined) {
             return toDue(rollout, change.state, change.reason, now);
         }
@@ -131,7 +130,7 @@
         decide: (record, verdict) => {
             const { rollout } = record;
             const now = clock.monotonic();
-            const change = planChange(rollout, verdict, measureCapacity(record), now, options);
+            const change = planChange(rollout, verdict, measure(record, now), now, options);
             if (change?.state === "stopping") {
                 apply({ ...rollout, state: "stopping", since: now, reason: change.reason });
                 return;
--- a/packages/oleandergap-rollout/src/measure/simulatedFleet.ts
+++ b/packages/oleandergap-rollout/src/measure/simulatedFleet.ts
@@ -111,6 +111,7 @@
                     coldLeftMs: Math.max(0, node.target.since + plan.coldStartMs - clock.now()),
                 };
             },
+            listTargets: () => targets,
             ...createJudge === undefined ? {} : { createJudge },
             signal,
         });
--- a/packages/oleandergap-rollout/src/participation.ts
+++ b/packages/oleandergap-rollout/src/participation.ts
@@ -29,6 +29,8 @@
 /** What a node derives from one roll-out. */
 export interface Participation {
     readonly rolloutId: string;
+    /** Time at which this node began to follow the roll-out. */
+    readonly since: Milliseconds;
     readonly judge: RolloutJudge;
     readonly limiter: ShareLimiter;
     verdict: RolloutVerdict;
@@ -80,6 +82,7 @@
         if (participation?.rolloutId !== order.id) {
             participation = {
                 rolloutId: order.id,
+                since: clock.monotonic(),
                 judge: createJudge(order.version),
                 limiter: createShareLimiter(),
                 verdict: { kind: "Undecided" },
--- a/packages/oleandergap-rollout/src/plan/plan.ts
+++ b/packages/oleandergap-rollout/src/plan/plan.ts
@@ -16,6 +16,10 @@
     readonly newSlots: number;
     readonly oldSlots: number;
     readonly oldInFlight: number;
+    /** Whether there is a target that does not run the new version, or that has not reported its version. */
+    readonly hasOtherTargets: boolean;
+    /** Whether this node has followed the roll-out for long enough to have received a report of every target. */
+    readonly isSettled: boolean;
 }
 
 /** A change of state that is due. */
@@ -60,6 +64,22 @@
 const hasCapacity = ({ newSlots, oldSlots }: RolloutCapacity): boolean =>
     newSlots > 0 && newSlots >= REQUIRED_SLOT_RATIO * oldSlots;
 
+/**
+ * Returns the end of a roll-out that has run out of time. It returns to the old version, unless none is left: then
+ * all nodes would refuse the only targets of the service for good.
+ */
+const planTimeout = (
+    { newSlots, hasOtherTargets, isSettled }: RolloutCapacity,
+    reason: string,
+): DueChange | undefined => {
+    if (!isSettled) {
+        return undefined;
+    }
+    return newSlots > 0 && !hasOtherTargets ?
+        { state: "completed", reason: "no other version is left" } :
+        { state: "stopping", reason };
+};
+
 const planRunning = (
     rollout: Rollout,
     verdict: RolloutVerdict,
@@ -69,7 +89,7 @@
 ): DueChange | undefined => {
     const deadline = getDeadline(rollout);
     if (now >= deadline - options.decisionMarginMs) {
-        return { state: "stopping", reason: "not judged in time" };
+        return planTimeout(capacity, "not judged in time");
     }
     const isInTime = now >= getPromotionTime(rollout, options) && now <= deadline - options.latestPromotionMs;
     return verdict.kind === "Good" && isInTime && hasCapacity(capacity) ?
@@ -79,17 +99,17 @@
 
 const planPromoting = (
     rollout: Rollout,
-    { oldInFlight }: RolloutCapacity,
+    capacity: RolloutCapacity,
     now: Milliseconds,
     options: RolloutOptions,
 ): DueChange | undefined => {
     const settledAt = getRampEnd(rollout, options) + options.settleMs;
     const decisionAt = getDeadline(rollout) - options.decisionMarginMs;
     if (now < settledAt) {
-        return now >= getDeadline(rollout) ? { state: "stopping", reason: "not promoted in time" } : undefined;
+        return now >= getDeadline(rollout) ? planTimeout(capacity, "not promoted in time") : undefined;
     }
     // The old targets end as soon as the roll-out is completed, so their last requests get as much time as there is.
-    return oldInFlight === 0 || now >= decisionAt ? { state: "completed", reason: "carries all requests" } : undefined;
+    return capacity.oldInFlight === 0 || now >= decisionAt ? { state: "completed", reason: "carries all requests" } : undefined;
 };
 
 /** Returns the change of state that is due, or undefined if there is none. */
--- a/packages/oleandergap-rollout/src/rollouts.ts
+++ b/packages/oleandergap-rollout/src/rollouts.ts
@@ -13,6 +13,7 @@
 import type { RunOutcome } from "./judge/outcomeCounter.js";
 import type { RolloutOptions } from "./options.js";
 import { createParticipations, type Participations } from "./participation.js";
+import type { SplitTarget } from "./plan/targetSplit.js";
 import { isFinal, type Rollout, type RolloutOrder, type TargetVersion } from "./rollout.js";
 import { createTargetReporter, type LocalTargetState } from "./targetReporter.js";
 
@@ -29,6 +30,8 @@
     readonly tableService: Pick<TableService, "transact" | "scan" | "read">;
     /** Returns the local target; undefined if there is none or if it announced no version. */
     readonly findLocalTarget: () => LocalTargetState | undefined;
+    /** Returns the targets of a service as this node lists them. */
+    readonly listTargets: (service: ServiceReference) => readonly SplitTarget[];
     readonly createJudge?: CreateJudge;
     readonly signal: AbortSignal;
 }
@@ -70,7 +73,7 @@
 /** Creates the roll-outs of a node that has received no order yet. */
 export const createRollouts = <Peer>(dependencies: RolloutsDependencies<Peer>): Rollouts<Peer> => {
     const { nodeId, clock, random, logger, options, network, findZoneRank, tableService, signal } = dependencies;
-    const { createJudge = createSequentialJudge, findLocalTarget } = dependencies;
+    const { createJudge = createSequentialJudge, findLocalTarget, listTargets } = dependencies;
     const store = createRolloutStore();
     const rows = createRolloutRows({ tableService, clock, signal });
     const reporter = createTargetReporter({ nodeId, clock, findLocalTarget });
@@ -90,6 +93,8 @@
         rows,
         findZoneRank,
         getVerdict: (rollout) => participations.get(rollout).verdict,
+        getFollowedSince: (rollout) => participations.get(rollout).since,
+        listTargets,
         broadcast: (rollout) => gossip.broadcast(rollout),
         signal,
     });
--- a/packages/oleandergap-rollout/src/testing/isolatedRollouts.ts
+++ b/packages/oleandergap-rollout/src/testing/isolatedRollouts.ts
@@ -25,5 +25,6 @@
     findZoneRank: () => 0,
     tableService,
     findLocalTarget,
+    listTargets: () => [],
     signal: new AbortController().signal,
 });
