Gateway and gate: the rest of a request that is answered early is read, so that the next one of its connection is answered

Cause: Node.js drops the rest of a body by itself only if nobody has begun to read it. The entry node reads a prefix of a large body and hands the rest to the exchange with the gate. The exchange stops reading when its response is complete, and nobody else reads on; the parser stays paused in the middle of the body.

The same on related paths: a response of a gate that came without a sign of admission (nobody had begun with the rest); a refusal after or before the admission; bodies with a length and in chunks; the hop from the gate to the target. Refusals of uploads said `Connection: close` instead and closed with unread bytes, which resets the connection and can lose the refusal.

Change: whoever ends an exchange drops the rest that its feed has taken; the handler drops what no attempt has taken, and also reads a request that it refuses before reading it. A caller with an unknown key is disconnected at once as before.

--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -50,6 +50,7 @@
 import { formatSharedLoads, parseSharedLoads } from "../http/sharedLoadsHeader.js";
 import { createCachedParser } from "../http/cachedParser.js";
 import { receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
+import { discardRestOfRequest } from "../http/restOfRequest.js";
 import { parseTimeout } from "../http/timeoutHeader.js";
 import { destroyResponse } from "../http/pipelinedRequests.js";
 import { writeResponse, writeFailure } from "../http/writeResponse.js";
@@ -124,6 +125,12 @@
 
 type GateRequestHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
 
+/** The parts of a request that were received before it was refused. */
+interface ReceivedParts {
+    readonly head?: GateRequestHead;
+    readonly body?: RequestBody;
+}
+
 /** How a request arrived. */
 interface HeadArrival {
     /** Monotonic time at which the head was read. */
@@ -178,7 +185,7 @@
 
 /** Creates the handler for requests from other nodes. */
 export const createGateHandler = (dependencies: GateHandlerDependencies) => {
-    const { clock, serve, loadExchange } = dependencies;
+    const { clock, serve, loadExchange, maxBodyBytes: maxBytes } = dependencies;
 
     const createGateHeaders = (
         requestId: string | undefined,
@@ -227,12 +234,13 @@
         response: ServerResponse,
         failure: RequestFailure,
         requestId: string | undefined,
-        head?: GateRequestHead,
+        { head, body }: ReceivedParts = {},
     ): void =>
         writeFailure(
             response,
             describeFailure(failure, { statusCode: selectStatusCode(failure) }),
             createGateHeaders(requestId, head),
+            discardRestOfRequest(response.req, body, { clock, maxBytes }),
         );
 
     const serveBody = async (response: ServerResponse, head: GateRequestHead, body: RequestBody): Promise<void> => {
@@ -244,9 +252,10 @@
         requestHeartbeats.stop();
         dependencies.countRequest(toRequestResult(outcome), clock.monotonic() - startedAt);
         if (either.isLeft(outcome)) {
-            refuse(response, outcome.left, head.requestId, head);
+            refuse(response, outcome.left, head.requestId, { head, body });
             return;
         }
+        discardRestOfRequest(response.req, body, { clock, maxBytes });
         const starvedHeader = outcome.right.isStarved === true ? { [STARVED_HEADER]: "yes" } : {};
         writeResponse(response, outcome.right, {
             ...createGateHeaders(head.requestId, head),
@@ -269,7 +278,7 @@
         }
         const received = receiveBody(request, {
             clock,
-            maxBytes: dependencies.maxBodyBytes,
+            maxBytes,
             deadline: head.right.deadline,
         });
         const body = received instanceof Promise ? await received : received;
--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -28,6 +28,7 @@
 import { HTTP_STATUS } from "../http/refusal.js";
 import { isReplayable, receiveBody, toRequestFailure, type RequestBody } from "../http/requestBody.js";
 import { FIRST_ERROR_STATUS, type RequestResult } from "../http/requestResult.js";
+import { discardRestOfRequest } from "../http/restOfRequest.js";
 import { writeResponse, writeFailure } from "../http/writeResponse.js";
 import type { ElapsedWaitEstimator } from "./elapsedWaitEstimator.js";
 import type { IdentifyCustomer } from "./customerIdentification.js";
@@ -159,22 +160,16 @@
 const isCallersFault = (failure: RequestFailure): boolean =>
     failure.kind === "BadRequest" || (failure.kind === "Refused" && CUSTOMER_REASONS.has(failure.reason));
 
+/** Returns whether the rest of a refused request is read. A caller that is not known is disconnected instead. */
+const readsRestAfter = (failure: RequestFailure): boolean =>
+    failure.kind !== "Refused" || failure.reason !== "UnknownKey";
+
 /** Returns the properties of a request by which the router distinguishes requests. */
 const selectRoutingProperties = (
     { maximumTargets, kind, customer, isCallerRetry }: CallerRequest,
 ): Pick<RequestExecution<TargetMember>, "maximumTargets" | "kind" | "customer" | "customerPriority" | "isCallerRetry"> =>
     ({ maximumTargets, kind, customer: customer?.name, customerPriority: customer?.priority, isCallerRetry });
 
-/**
- * Lets the rest of a small request be read that arrived together with its head. The connection then stays open after a
- * refusal, and a customer that exceeds its quota does not open one for each request.
- */
-const readArrivedBody = async (request: IncomingMessage): Promise<void> => {
-    if (!request.complete) {
-        await new Promise<void>((resolve) => setImmediate(resolve));
-    }
-};
-
 /**
  * Takes a token of the quota of the request's customer. Returns the refusal if there is none, and undefined, without
  * waiting, if the customer has no quota.
@@ -187,7 +182,6 @@
     const take = async (limited: Customer): Promise<RequestFailure | undefined> => {
         const decision = await quota.admit(limited, table.head.partner);
         if (either.isLeft(decision)) {
-            await readArrivedBody(state.request);
             return { kind: "Refused", verdict: "notRun", reason: "QuotaExceeded", ...decision.left };
         }
         state.quotaToken = decision.right;
@@ -223,8 +217,13 @@
 /** Timers may fire earlier than due by this time. */
 const TIMER_TOLERANCE_MS = 2;
 
+/** Returns the status of a response that was awaited until its deadline; undefined for all other failures. */
+const selectStatusCode = ({ kind }: RequestFailure, leftMs: Milliseconds): number | undefined =>
+    kind === "AnswerLost" && leftMs <= TIMER_TOLERANCE_MS ? HTTP_STATUS.gatewayTimeout : undefined;
+
 export const createGatewayHandler = (dependencies: GatewayHandlerDependencies) => {
-    const { clock, dialect, maxBodyBytes: maxBytes } = dependencies;
+    const { clock, dialect } = dependencies;
+    const limits = { clock, maxBytes: dependencies.maxBodyBytes };
 
     const describeResponse = (
         { caller, requestId, isRetried }: RequestState,
@@ -246,10 +245,10 @@
         }
         returnQuotaToken(dependencies, state, failure);
         const now = clock.monotonic();
-        const isLate = failure.kind === "AnswerLost" && now >= state.deadline - TIMER_TOLERANCE_MS;
-        const context = { statusCode: isLate ? HTTP_STATUS.gatewayTimeout : undefined, retryAfterMs };
-        const failureResponse = dialect.describeFailure(failure, context);
-        writeFailure(state.response, failureResponse, describeResponse(state, failure.verdict));
+        const statusCode = selectStatusCode(failure, state.deadline - now);
+        const failureResponse = dialect.describeFailure(failure, { statusCode, retryAfterMs });
+        const isRestRead = readsRestAfter(failure) && discardRestOfRequest(state.request, state.body, limits);
+        writeFailure(state.response, failureResponse, describeResponse(state, failure.verdict), isRestRead);
         dependencies.countRequest({ kind: "Failed", failure }, now - state.startedAt, getCountedKind(state.caller));
         if (failure.verdict !== "notRun" && state.caller !== undefined) {
             dependencies.recordDuration(state.caller.kind, now - state.startedAt);
@@ -305,6 +304,7 @@
         dependencies.countRequest({ kind: "Answered", statusCode: answer.statusCode }, duration, getCountedKind(caller));
         state.response.once("finish", () =>
             dependencies.recordDuration(caller.kind, clock.monotonic() - state.startedAt));
+        discardRestOfRequest(state.request, body, limits);
         writeResponse(state.response, answer, describeResponse(state, "ran"));
     };
 
@@ -326,7 +326,7 @@
             refuse(state, quotaRefusal);
             return;
         }
-        const received = receiveBody(state.request, { clock, maxBytes, deadline: state.deadline, signal });
+        const received = receiveBody(state.request, { ...limits, deadline: state.deadline, signal });
         const body = received instanceof Promise ? await received : received;
         if (either.isLeft(body)) {
             refuse(state, toRequestFailure(body.left));
--- a/packages/oleandergap-node/src/http/bodyFeed.ts
+++ b/packages/oleandergap-node/src/http/bodyFeed.ts
@@ -13,7 +13,10 @@
     readonly body: OutgoingBody;
     /** Starts to send the rest of a streaming body. */
     readonly open: () => void;
-    /** Stops the feed. A body that still waits for admission breaks off. */
+    /**
+     * Stops the feed. A body that still waits for admission breaks off. The rest of a body that this feed has begun to
+     * send is dropped, because nobody else can send it.
+     */
     readonly close: () => void;
 }
 
@@ -28,11 +31,16 @@
         resolveAdmission(true);
     }
 
+    let isClosed = false;
+    let hasTakenRest = false;
+
     const generate = async function* (): AsyncGenerator<Buffer> {
         yield body.prefix;
-        if (!await admission) {
+        // The admission and the end of the exchange may have been read together.
+        if (!await admission || isClosed) {
             throw new Error("the request was aborted before its body was sent completely");
         }
+        hasTakenRest = !body.isRestTaken();
         yield* body.rest();
     };
 
@@ -40,7 +48,13 @@
         // With its length, the receiver does not wait for as many bytes as it buffers while only the prefix is sent.
         body: { kind: "Streamed", length: body.length, chunks: generate },
         open: () => resolveAdmission(true),
-        close: () => resolveAdmission(false),
+        close: () => {
+            isClosed = true;
+            resolveAdmission(false);
+            if (hasTakenRest) {
+                body.discardTakenRest();
+            }
+        },
     };
 };
 
--- a/packages/oleandergap-node/src/http/requestBody.ts
+++ b/packages/oleandergap-node/src/http/requestBody.ts
@@ -5,8 +5,9 @@
 import type { IncomingMessage } from "node:http";
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Clock, Milliseconds, RequestFailure } from "oleandergap-types";
+import type { Milliseconds, RequestFailure } from "oleandergap-types";
 import { getAbortCause } from "./openRequests.js";
+import { discardChunks, iterateChunks, type RestLimits } from "./restOfRequest.js";
 
 /** Maximum size of a body that is buffered completely for replay, in bytes. */
 export const MAX_REPLAY_BYTES = 64 * 1024;
@@ -35,6 +36,10 @@
     readonly rest: () => AsyncIterable<Buffer>;
     /** Returns whether `rest` has been called. */
     readonly isRestTaken: () => boolean;
+    /** Drops the rest, unless an attempt has taken it. */
+    readonly discardRest: () => void;
+    /** Drops what an attempt has taken and will not read any more. */
+    readonly discardTakenRest: () => void;
 }
 
 /** Returns whether the request can be sent again from its first byte. */
@@ -66,9 +71,7 @@
     }
 };
 
-export interface BodyLimits {
-    readonly clock: Clock;
-    readonly maxBytes: number;
+export interface BodyLimits extends RestLimits {
     /** Monotonic time by which the buffered part must have arrived. */
     readonly deadline: Milliseconds;
     /** Signal of the open request. The end of a stop ends the wait for a body that is still arriving. */
@@ -80,17 +83,11 @@
     return declared === undefined ? undefined : Number(declared);
 };
 
-/**
- * Returns an iterator over the body. Ending it does not destroy the request, so that a refusal can still be written to
- * the caller.
- */
-const iterateChunks = (request: IncomingMessage): AsyncIterator<Buffer, undefined> =>
-    request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer, undefined>;
-
 interface Remainder {
+    readonly request: IncomingMessage;
     readonly chunks: AsyncIterator<Buffer, undefined>;
     readonly receivedBytes: number;
-    readonly maxBytes: number;
+    readonly limits: RestLimits;
 }
 
 const alreadyTakenRest: AsyncIterable<Buffer> = {
@@ -101,6 +98,14 @@
 
 const createStreamingBody = (prefix: Buffer, length: number | undefined, remainder: Remainder): StreamingBody => {
     let isTaken = false;
+    let isDiscarded = false;
+
+    const discard = (): void => {
+        if (!isDiscarded) {
+            isDiscarded = true;
+            void discardChunks(remainder.request, remainder.chunks, remainder.limits, remainder.receivedBytes);
+        }
+    };
 
     const readRest = async function* (): AsyncGenerator<Buffer> {
         let total = remainder.receivedBytes;
@@ -110,7 +115,7 @@
                 return;
             }
             total += next.value.length;
-            if (total > remainder.maxBytes) {
+            if (total > remainder.limits.maxBytes) {
                 throw new Error("the body is larger than allowed");
             }
             yield next.value;
@@ -129,13 +134,20 @@
             return readRest();
         },
         isRestTaken: () => isTaken,
+        discardRest: () => {
+            if (!isTaken) {
+                isTaken = true;
+                discard();
+            }
+        },
+        discardTakenRest: discard,
     };
 };
 
 const collectBody = async (
     request: IncomingMessage,
     length: number | undefined,
-    maxBytes: number,
+    limits: RestLimits,
 ): Promise<Either<BodyError, RequestBody>> => {
     // If the declared length shows that the body is large, a prefix is sufficient.
     const requiredBytes = length === undefined || length <= MAX_REPLAY_BYTES ? MAX_REPLAY_BYTES : MIN_PREFIX_BYTES - 1;
@@ -156,11 +168,11 @@
     catch {
         return either.left({ kind: "Disconnected" });
     }
-    if (receivedBytes > maxBytes) {
+    if (receivedBytes > limits.maxBytes) {
         return either.left({ kind: "TooLarge" });
     }
     const prefix = Buffer.concat(collected);
-    return either.right(createStreamingBody(prefix, length, { chunks, receivedBytes, maxBytes }));
+    return either.right(createStreamingBody(prefix, length, { request, chunks, receivedBytes, limits }));
 };
 
 /**
@@ -180,7 +192,7 @@
         };
         const cancel = clock.after(deadline - clock.monotonic(), () => resolve(either.left({ kind: "TooSlow" })));
         signal?.addEventListener("abort", onAbort, { once: true });
-        void collectBody(request, length, maxBytes).then((body) => {
+        void collectBody(request, length, { clock, maxBytes }).then((body) => {
             cancel();
             signal?.removeEventListener("abort", onAbort);
             resolve(body);
--- a/packages/oleandergap-node/src/http/writeResponse.ts
+++ b/packages/oleandergap-node/src/http/writeResponse.ts
@@ -8,11 +8,14 @@
 /**
  * Writes a failure immediately. If a response has already begun, destroys the connection instead, so that the response
  * is visibly cut off.
+ *
+ * @param isRestRead Whether the rest of the request is read if it has not arrived yet
  */
 export const writeFailure = (
     response: ServerResponse,
     failure: FailureResponse,
     extraHeaders: Readonly<Record<string, string>>,
+    isRestRead = false,
 ): void => {
     if (response.destroyed || response.writableEnded) {
         return;
@@ -21,8 +24,8 @@
         destroyResponse(response);
         return;
     }
-    if (!response.req.complete) {
-        // Without this header, the rest of the request body would be parsed as the next request.
+    if (!response.req.complete && !isRestRead) {
+        // The next request of the connection would never be read.
         response.setHeader("connection", "close");
     }
     response.writeHead(failure.statusCode, { ...extraHeaders, ...failure.headers });
