--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { Quota, QuotaToken } from "oleandergap-customers";
+import type { Quota } from "oleandergap-customers";
 import type { Logger } from "oleandergap-logger";
 import type { TargetMember } from "oleandergap-membership";
 import type { AttemptedTarget, RequestExecution, RequestRouter } from "oleandergap-routing";
@@ -17,7 +17,6 @@
     RequestFailure,
     ServiceReference,
     TableView,
-    Verdict,
 } from "oleandergap-types";
 import type { AdmissionRefusal } from "../admin/readiness.js";
 import { discardBody } from "../http/upstreamResponse.js";
@@ -35,12 +34,13 @@
 import { readCallerRequest, type CallerRequest } from "./callerRequest.js";
 import { getCountedKind } from "./countedKind.js";
 import type { FindOwnerRouter } from "./ownerRouting.js";
-import type { FailedRequest, LogFailedRequest } from "./requestLog.js";
+import type { LogFailedRequest } from "./requestLog.js";
 import type { ChooseService } from "./routeTable.js";
 import { sendWithContainment, type CreateRequestContainment } from "./requestContainment.js";
 import { chooseRequestTargets, type SplitTargets } from "./requestTargets.js";
 import type { FindTargets } from "./targetLookup.js";
 import type { SendToGate } from "./sendToGate.js";
+import { describeFailedRequest, describeResponse, type RequestState } from "./requestState.js";
 
 export interface GatewayHandlerDependencies {
     readonly clock: Clock;
@@ -87,28 +87,6 @@
     readonly logFailure: LogFailedRequest;
 }
 
-/** State of a caller's request while it is handled. */
-interface RequestState {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly arrival: RequestArrival;
-    readonly startedAt: Milliseconds;
-    /** Request id that the caller assigned. */
-    readonly requestId: string | undefined;
-    /** Service of the caller if the caller is this node's local target. */
-    readonly callingService: ServiceReference | undefined;
-    /** Set once the request head has been parsed. */
-    deadline: Milliseconds;
-    /** Set once the request head has been parsed. */
-    caller: CallerRequest | undefined;
-    /** Set once the request has been admitted within its customer's quota. */
-    quotaToken: QuotaToken | undefined;
-    /** Set once the part of the body that is buffered has been received. */
-    body: RequestBody | undefined;
-    /** Whether a downstream hop has already retried. */
-    isRetried: boolean;
-}
-
 const createRequestState = (
     { clock, dialect, findCallingService }: GatewayHandlerDependencies,
     incoming: Pick<RequestState, "request" | "response" | "arrival">,
@@ -201,19 +179,6 @@
     }
 };
 
-const describeFailedRequest = (
-    { requestId, caller, body, arrival, startedAt, deadline }: RequestState,
-    now: Milliseconds,
-): Omit<FailedRequest, "failure" | "retryAfterMs" | "tried"> => ({
-    id: requestId,
-    caller,
-    body,
-    isFirst: arrival.isFirst,
-    queuedMs: startedAt - arrival.receivedAt,
-    durationMs: now - startedAt,
-    leftMs: deadline - now,
-});
-
 /** Timers may fire earlier than due by this time. */
 const TIMER_TOLERANCE_MS = 2;
 
@@ -222,14 +187,8 @@
     kind === "AnswerLost" && leftMs <= TIMER_TOLERANCE_MS ? HTTP_STATUS.gatewayTimeout : undefined;
 
 export const createGatewayHandler = (dependencies: GatewayHandlerDependencies) => {
-    const { clock, dialect } = dependencies;
-    const limits = { clock, maxBytes: dependencies.maxBodyBytes };
-
-    const describeResponse = (
-        { caller, requestId, isRetried }: RequestState,
-        verdict: Verdict,
-    ): Record<string, string> =>
-        dialect.describeResponse({ verdict, version: caller?.table.head, requestId, isRetried });
+    const { clock, dialect, maxBodyBytes: maxBytes } = dependencies;
+    const limits = { clock, maxBytes };
 
     const refuse = (
         state: RequestState,
@@ -245,10 +204,10 @@
         }
         returnQuotaToken(dependencies, state, failure);
         const now = clock.monotonic();
-        const statusCode = selectStatusCode(failure, state.deadline - now);
-        const failureResponse = dialect.describeFailure(failure, { statusCode, retryAfterMs });
+        const context = { statusCode: selectStatusCode(failure, state.deadline - now), retryAfterMs };
+        const failureResponse = dialect.describeFailure(failure, context);
         const isRestRead = readsRestAfter(failure) && discardRestOfRequest(state.request, state.body, limits);
-        writeFailure(state.response, failureResponse, describeResponse(state, failure.verdict), isRestRead);
+        writeFailure(state.response, failureResponse, describeResponse(dialect, state, failure.verdict), isRestRead);
         dependencies.countRequest({ kind: "Failed", failure }, now - state.startedAt, getCountedKind(state.caller));
         if (failure.verdict !== "notRun" && state.caller !== undefined) {
             dependencies.recordDuration(state.caller.kind, now - state.startedAt);
@@ -305,7 +264,7 @@
         state.response.once("finish", () =>
             dependencies.recordDuration(caller.kind, clock.monotonic() - state.startedAt));
         discardRestOfRequest(state.request, body, limits);
-        writeResponse(state.response, answer, describeResponse(state, "ran"));
+        writeResponse(state.response, answer, describeResponse(dialect, state, "ran"));
     };
 
     const handle = async (state: RequestState): Promise<void> => {
@@ -321,7 +280,7 @@
         }
         const signal = dependencies.openRequests.open(state.response, state.requestId);
         const quotaDecision = takeQuotaToken(dependencies, state, caller.right);
-        const quotaRefusal = quotaDecision === undefined ? undefined : await quotaDecision;
+        const quotaRefusal = quotaDecision && await quotaDecision;
         if (quotaRefusal !== undefined) {
             refuse(state, quotaRefusal);
             return;
