Transport: a response body that does not end is cut off shortly after its deadline

The deadline was watched until the head of a response arrived; from then on only 30 s of silence within the body ended it, and a body that is never silent had no end at all.

Change: the watch of a body has a deadline beside its silence, 200 ms after that of the request, so that a response that is nearly complete still arrives. It holds while the receiver pauses too: a sender that is faster than the caller would pause it for ever.

--- a/packages/oleandergap-node/src/http/exchange.ts
+++ b/packages/oleandergap-node/src/http/exchange.ts
@@ -8,7 +8,7 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { RequestControl, RequestTransport, ResponseReceiver } from "oleandergap-transport";
+import type { BodyLimits, RequestControl, RequestTransport, ResponseReceiver } from "oleandergap-transport";
 import type { RequestFailure } from "oleandergap-types";
 import { readResponseHeader, type UpstreamResponse, type ResponseHeaders } from "./upstreamResponse.js";
 import { createReceivedBody, type ReceivedBody } from "./receivedBody.js";
@@ -31,8 +31,8 @@
     readonly requireId: boolean;
     /** Whether the rest of a streaming body is sent only after the receiver has admitted the request. */
     readonly awaitAdmission: boolean;
-    /** Maximum time between two chunks of the response body, in milliseconds. */
-    readonly bodySilenceMs: number;
+    /** Limits of the response body. */
+    readonly bodyLimits: BodyLimits;
     /**
      * Called for an informational response (a status below 200), which shows that the receiver is alive and has the
      * request.
@@ -147,7 +147,7 @@
             path: request.path,
             headers: request.headers,
             body: feed.body,
-            bodySilenceMs: request.bodySilenceMs,
+            ...request.bodyLimits,
         }, receiver);
     }
     catch (error) {
--- a/packages/oleandergap-node/src/http/monitoredExchange.ts
+++ b/packages/oleandergap-node/src/http/monitoredExchange.ts
@@ -30,6 +30,7 @@
     /** See `ExchangeRequest`. */
     readonly requireId: boolean;
     readonly awaitAdmission: boolean;
+    /** Maximum time between two chunks of the response body. */
     readonly bodySilenceMs: Milliseconds;
     /** Returns the transport to the target; called once for each attempt. */
     readonly getTransport: () => RequestTransport;
@@ -47,7 +48,10 @@
      * request.
      */
     readonly readFailure: (response: UpstreamResponse) => RequestFailure | undefined;
-    /** Monotonic time at which the request is aborted unless a response has begun. */
+    /**
+     * Monotonic time at which the request is aborted unless a response has begun. A response that has begun must be
+     * complete shortly after it.
+     */
     readonly deadline: Milliseconds;
     readonly signal: AbortSignal;
     /**
@@ -102,6 +106,9 @@
     readonly open?: PendingAttempt;
 }
 
+/** Time after the deadline within which a response that has begun may still end. Most of them end soon. */
+const BODY_GRACE_MS: Milliseconds = 200;
+
 type EndReason = "Open" | "DeadlinePassed" | "Cancelled" | "NodeStopping" | "Silent";
 
 interface MonitoredAttempt extends PendingAttempt {
@@ -199,7 +206,7 @@
         responseId: request.getResponseId(requestId),
         requireId: request.requireId,
         awaitAdmission: request.awaitAdmission,
-        bodySilenceMs: request.bodySilenceMs,
+        bodyLimits: { bodySilenceMs: request.bodySilenceMs, bodyDeadline: request.deadline + BODY_GRACE_MS },
         onInformationalResponse: () => {
             monitor.recordActivity();
             heartbeats += 1;
--- a/packages/oleandergap-platform/src/exchange.ts
+++ b/packages/oleandergap-platform/src/exchange.ts
@@ -69,8 +69,9 @@
         [] :
         ["content-type", typeof body === "string" ? "application/json" : "application/octet-stream"],
     body: toBody(body),
-    // The exchange has a shorter timeout of its own.
+    // The exchange has shorter timeouts of its own.
     bodySilenceMs: longestMs,
+    bodyDeadline: Number.POSITIVE_INFINITY,
 });
 
 /** An exchange in progress. Only the first event that ends it counts. */
--- a/packages/oleandergap-transport/src/__tests__/httpBodies.test.ts
+++ b/packages/oleandergap-transport/src/__tests__/httpBodies.test.ts
@@ -54,6 +54,31 @@
         expect(sent.events.at(-1)).to.equal("error");
     });
 
+    for (const isPaused of [false, true]) {
+        it(`fails a response that goes on beyond its deadline${isPaused ? ", also while the receiver pauses" : ""}`, async () => {
+            const clock = createManualClock();
+            const target = await startScriptedTarget(cleanup.add, (socket) => {
+                socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n");
+            });
+            const pool = createPool(cleanup.add, target.port, 1, clock);
+            const sent = send(pool, { bodySilenceMs: 1000, bodyDeadline: clock.monotonic() + 3000 });
+            await waitUntil(() => sent.events.includes("data hello"));
+            if (isPaused) {
+                sent.control.pause();
+            }
+            for (let part = 0; part < 5; part++) {
+                await clock.advance(500);
+                target.sockets[0]?.write("1\r\n.\r\n");
+                await waitUntil(() => isPaused || sent.events.includes(`data hello${".".repeat(part + 1)}`));
+                expect(hasEnded(sent)).to.equal(false);
+            }
+            await clock.advance(600);
+            await waitUntil(() => hasEnded(sent));
+            expect(sent.events.at(-1)).to.equal("error");
+            await waitUntil(() => target.sockets[0]?.destroyed === true);
+        });
+    }
+
     it("stops reading a response while it is paused, and goes on with the same connection", async () => {
         const size = 16 * 1024 * 1024;
         const port = await startTarget(cleanup.add, (request, response) =>
--- a/packages/oleandergap-transport/src/__tests__/httpPool.test.ts
+++ b/packages/oleandergap-transport/src/__tests__/httpPool.test.ts
@@ -191,7 +191,14 @@
             const pool = createHttpPool({ clock, connect, address: "${LOOPBACK}", port: ${target.port}, idleMs: 60_000 });
             const noop = () => undefined;
             pool.send(
-                { method: "GET", path: "/", headers: ["host", "x"], body: { kind: "Empty" }, bodySilenceMs: 1000 },
+                {
+                    method: "GET",
+                    path: "/",
+                    headers: ["host", "x"],
+                    body: { kind: "Empty" },
+                    bodySilenceMs: 1000,
+                    bodyDeadline: Infinity,
+                },
                 { onSent: noop, onHead: noop, onData: noop, onEnd: () => process.stdout.write("end"), onError: noop },
             );
         `;
--- a/packages/oleandergap-transport/src/__tests__/transportSupport.ts
+++ b/packages/oleandergap-transport/src/__tests__/transportSupport.ts
@@ -25,6 +25,7 @@
     headers: ["host", "grant-filer.halloway"],
     body: { kind: "Empty" },
     bodySilenceMs: 30_000,
+    bodyDeadline: Number.POSITIVE_INFINITY,
     ...changes,
 });
 
--- a/packages/oleandergap-transport/src/httpConnection.ts
+++ b/packages/oleandergap-transport/src/httpConnection.ts
@@ -7,11 +7,11 @@
  */
 import type { Socket } from "node:net";
 import type { Clock, Milliseconds } from "oleandergap-types";
+import { startBodyWatch } from "./bodyWatch.js";
 import { wasReset, type Connect } from "./connector.js";
 import type { OutgoingRequest, RequestControl, ResponseReceiver } from "./requestTransport.js";
 import { writeRequest } from "./requestWriter.js";
 import { createRunningRequest, type RunningRequest } from "./runningRequest.js";
-import { startSilenceWatch } from "./silenceWatch.js";
 
 /**
  * Time by which a connection is given up before the remote side would close it, so that no request is on the way when
@@ -54,15 +54,14 @@
     !request.isHeadRequest &&
     (request.keepAliveMs === undefined || request.keepAliveMs > KEEP_ALIVE_MARGIN_MS);
 
-/** Starts to watch for the silence of a body, or records that it was not silent. */
+/** Starts to watch for the end of a body, or records that the body was not silent. */
 const watchBody = (clock: Clock, request: RunningRequest, fail: (error: Error) => void): void => {
-    if (request.silenceWatch !== undefined) {
-        request.silenceWatch.recordProgress();
+    if (request.bodyWatch !== undefined) {
+        request.bodyWatch.recordProgress();
         return;
     }
-    const { bodySilenceMs } = request;
-    request.silenceWatch = startSilenceWatch(clock, bodySilenceMs, () => request.isPaused, () =>
-        fail(new Error(`no data of the response body within ${bodySilenceMs} ms`)));
+    request.bodyWatch = startBodyWatch(clock, request.bodyLimits, () => request.isPaused, (detail) =>
+        fail(new Error(detail)));
 };
 
 const createControl = (
@@ -80,7 +79,7 @@
     resume: () => {
         if (isRunning() && request.isPaused) {
             request.isPaused = false;
-            request.silenceWatch?.recordProgress();
+            request.bodyWatch?.recordProgress();
             socket.resume();
         }
     },
@@ -109,7 +108,7 @@
     };
 
     const stopRunning = (): void => {
-        running?.silenceWatch?.stop();
+        running?.bodyWatch?.stop();
         running = undefined;
     };
 
--- a/packages/oleandergap-transport/src/requestTransport.ts
+++ b/packages/oleandergap-transport/src/requestTransport.ts
@@ -1,5 +1,5 @@
 /** The port through which requests are sent to a remote side: a gate of another node, or the local target. */
-import type { Milliseconds } from "oleandergap-types";
+import type { BodyLimits } from "./bodyWatch.js";
 
 /** Headers of a response; names in lower case. A header that occurs more than once has several values. */
 export type ResponseHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -19,15 +19,14 @@
     readonly chunks: () => AsyncIterable<Buffer>;
 }
 
-export interface OutgoingRequest {
+/** A request, and the limits of the body of its response. */
+export interface OutgoingRequest extends BodyLimits {
     readonly method: string;
     /** Path and query. */
     readonly path: string;
     /** Alternating names and values, without hop-by-hop headers and without `content-length`. */
     readonly headers: readonly string[];
     readonly body: OutgoingBody;
-    /** Maximum time between two chunks of the response body, without the time during which the receiver pauses. */
-    readonly bodySilenceMs: Milliseconds;
 }
 
 /**
--- a/packages/oleandergap-transport/src/runningRequest.ts
+++ b/packages/oleandergap-transport/src/runningRequest.ts
@@ -3,20 +3,19 @@
 import type { OutgoingRequest, ResponseReceiver } from "./requestTransport.js";
 import { FIRST_FINAL_STATUS } from "./responseHead.js";
 import { createResponseParser, type ResponseParser } from "./responseParser.js";
-import type { SilenceWatch } from "./silenceWatch.js";
+import type { BodyLimits, BodyWatch } from "./bodyWatch.js";
 
 export interface RunningRequest {
     readonly receiver: ResponseReceiver;
     readonly parser: ResponseParser;
     readonly isHeadRequest: boolean;
-    /** See `OutgoingRequest`. */
-    readonly bodySilenceMs: Milliseconds;
+    readonly bodyLimits: BodyLimits;
     /** Whether the whole request was written. */
     isWritten: boolean;
     /** Whether the receiver pauses. */
     isPaused: boolean;
     /** Set while the response body arrives. */
-    silenceWatch: SilenceWatch | undefined;
+    bodyWatch: BodyWatch | undefined;
     /** See `ResponseHead`. */
     keepAlive: boolean;
     keepAliveMs: Milliseconds | undefined;
@@ -28,7 +27,7 @@
  * @param isRunning Returns false once the request was given up, also within the bytes that are being parsed
  */
 export const createRunningRequest = (
-    { method, bodySilenceMs }: OutgoingRequest,
+    { method, bodySilenceMs, bodyDeadline }: OutgoingRequest,
     receiver: ResponseReceiver,
     isRunning: (request: RunningRequest) => boolean,
 ): RunningRequest => {
@@ -54,10 +53,10 @@
         receiver,
         parser,
         isHeadRequest: method === "HEAD",
-        bodySilenceMs,
+        bodyLimits: { bodySilenceMs, bodyDeadline },
         isWritten: false,
         isPaused: false,
-        silenceWatch: undefined,
+        bodyWatch: undefined,
         keepAlive: false,
         keepAliveMs: undefined,
     };
