--- a/packages/oleandergap-node/src/http/exchange.ts
+++ b/packages/oleandergap-node/src/http/exchange.ts
@@ -8,7 +8,7 @@
  */
 import * as either from "fp-ts/lib/Either.js";
 import type { Either } from "fp-ts/lib/Either.js";
-import type { BodyLimits, RequestControl, RequestTransport, ResponseReceiver } from "oleandergap-transport";
+import type { ResponseBodyLimits, RequestControl, RequestTransport, ResponseReceiver } from "oleandergap-transport";
 import type { RequestFailure } from "oleandergap-types";
 import { readResponseHeader, type UpstreamResponse, type ResponseHeaders } from "./upstreamResponse.js";
 import { createReceivedBody, type ReceivedBody } from "./receivedBody.js";
@@ -32,7 +32,7 @@
     /** Whether the rest of a streaming body is sent only after the receiver has admitted the request. */
     readonly awaitAdmission: boolean;
     /** Limits of the response body. */
-    readonly bodyLimits: BodyLimits;
+    readonly bodyLimits: ResponseBodyLimits;
     /**
      * Called for an informational response (a status below 200), which shows that the receiver is alive and has the
      * request.
--- a/packages/oleandergap-node/src/http/requestBody.ts
+++ b/packages/oleandergap-node/src/http/requestBody.ts
@@ -7,7 +7,7 @@
 import type { Either } from "fp-ts/lib/Either.js";
 import type { Milliseconds, RequestFailure } from "oleandergap-types";
 import { getAbortCause } from "./openRequests.js";
-import { discardChunks, iterateChunks, type RestLimits } from "./restOfRequest.js";
+import { declaresBody, discardChunks, iterateChunks, type RestLimits } from "./restOfRequest.js";
 
 /** Maximum size of a body that is buffered completely for replay, in bytes. */
 export const MAX_REPLAY_BYTES = 64 * 1024;
@@ -207,11 +207,10 @@
     request: IncomingMessage,
     limits: BodyLimits,
 ): Either<BodyError, RequestBody> | Promise<Either<BodyError, RequestBody>> => {
-    const length = readDeclaredLength(request);
-    const isChunked = request.headers["transfer-encoding"] !== undefined;
-    if (!isChunked && (length === undefined || length === 0)) {
+    if (!declaresBody(request)) {
         return NO_BODY;
     }
+    const length = readDeclaredLength(request);
     if (length !== undefined && length > limits.maxBytes) {
         return either.left({ kind: "TooLarge" });
     }
--- a/packages/oleandergap-node/src/http/restOfRequest.ts
+++ b/packages/oleandergap-node/src/http/restOfRequest.ts
@@ -54,6 +54,10 @@
     cancel();
 };
 
+/** Returns whether the request has a body of at least one byte, as far as its head tells. */
+export const declaresBody = ({ headers }: IncomingMessage): boolean =>
+    headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+
 const isDeclaredTooLarge = (request: IncomingMessage, maxBytes: number): boolean =>
     Number(request.headers["content-length"] ?? 0) > maxBytes;
 
@@ -72,7 +76,7 @@
         body.discardRest();
         return true;
     }
-    if (request.complete) {
+    if (request.complete || !declaresBody(request)) {
         return true;
     }
     if (request.readableDidRead || isDeclaredTooLarge(request, limits.maxBytes)) {
--- a/packages/oleandergap-transport/src/bodyWatch.ts
+++ b/packages/oleandergap-transport/src/bodyWatch.ts
@@ -3,7 +3,7 @@
 import { startReadAwareTimer } from "oleandergap-utils";
 
 /** Limits of the time that a response body takes. */
-export interface BodyLimits {
+export interface ResponseBodyLimits {
     /** Maximum time between two chunks, without the time during which the receiver pauses. */
     readonly bodySilenceMs: Milliseconds;
     /** Monotonic time by which the body must be complete. */
@@ -23,7 +23,7 @@
  */
 export const startBodyWatch = (
     clock: Clock,
-    { bodySilenceMs, bodyDeadline }: BodyLimits,
+    { bodySilenceMs, bodyDeadline }: ResponseBodyLimits,
     isPaused: () => boolean,
     onExpired: (detail: string) => void,
 ): BodyWatch => {
--- a/packages/oleandergap-transport/src/index.ts
+++ b/packages/oleandergap-transport/src/index.ts
@@ -1,5 +1,5 @@
 /** Sends requests over HTTP/1.1 on plain sockets, behind a port that does not depend on the protocol. */
-export type { BodyLimits } from "./bodyWatch.js";
+export type { ResponseBodyLimits } from "./bodyWatch.js";
 export type {
     OutgoingBody,
     OutgoingRequest,
--- a/packages/oleandergap-transport/src/requestTransport.ts
+++ b/packages/oleandergap-transport/src/requestTransport.ts
@@ -1,5 +1,5 @@
 /** The port through which requests are sent to a remote side: a gate of another node, or the local target. */
-import type { BodyLimits } from "./bodyWatch.js";
+import type { ResponseBodyLimits } from "./bodyWatch.js";
 
 /** Headers of a response; names in lower case. A header that occurs more than once has several values. */
 export type ResponseHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -20,7 +20,7 @@
 }
 
 /** A request, and the limits of the body of its response. */
-export interface OutgoingRequest extends BodyLimits {
+export interface OutgoingRequest extends ResponseBodyLimits {
     readonly method: string;
     /** Path and query. */
     readonly path: string;
--- a/packages/oleandergap-transport/src/runningRequest.ts
+++ b/packages/oleandergap-transport/src/runningRequest.ts
@@ -3,13 +3,13 @@
 import type { OutgoingRequest, ResponseReceiver } from "./requestTransport.js";
 import { FIRST_FINAL_STATUS } from "./responseHead.js";
 import { createResponseParser, type ResponseParser } from "./responseParser.js";
-import type { BodyLimits, BodyWatch } from "./bodyWatch.js";
+import type { ResponseBodyLimits, BodyWatch } from "./bodyWatch.js";
 
 export interface RunningRequest {
     readonly receiver: ResponseReceiver;
     readonly parser: ResponseParser;
     readonly isHeadRequest: boolean;
-    readonly bodyLimits: BodyLimits;
+    readonly bodyLimits: ResponseBodyLimits;
     /** Whether the whole request was written. */
     isWritten: boolean;
     /** Whether the receiver pauses. */
