Roll-outs: a node that has just started learns the state of a found order from the table before its peers answer

An order that a node found at its start waited until the node had the roll-outs of the fleet, up to a second or more, and was held back by nobody until then; before, it counted as running at once.

Change: the row is read first, at once, and peers are awaited only if the table has no row. Cost: one read of the rows for each node that reads orders at its start, as before.

Evidence: restoredOrders.test.ts "is known from the table to a node that has just started, before a peer has answered": fails on the parent's order of the two steps ("the reader has no roll-out"), passes now; 17 passing.

--- a/packages/oleandergap-rollout/src/decision/foundOrders.ts
+++ b/packages/oleandergap-rollout/src/decision/foundOrders.ts
@@ -48,10 +48,11 @@
     };
 
     const beginWhenInformed = async (order: RolloutOrder, foundAt: Milliseconds): Promise<void> => {
-        await waitUntilInformed();
-        // A peer's answer may be incomplete, because its datagrams can be lost.
+        // Until this node has the roll-out, it sends requests to a version that may have been judged bad.
         const loaded = await loadRollouts(() => !signal.aborted && !hasOrder(order));
         loaded?.forEach(apply);
+        // The table may have lost a roll-out that the peers still hold.
+        await waitUntilInformed();
         if (!signal.aborted) {
             beginUnlessKnown(order, foundAt);
         }
