--- a/packages/oleandergap-node/src/gateway/gatewayHandler.ts
+++ b/packages/oleandergap-node/src/gateway/gatewayHandler.ts
@@ -36,11 +36,11 @@
 import type { FindOwnerRouter } from "./ownerRouting.js";
 import type { LogFailedRequest } from "./requestLog.js";
 import type { ChooseService } from "./routeTable.js";
+import { describeFailedRequest, describeResponse, type RequestState } from "./requestState.js";
 import { sendWithContainment, type CreateRequestContainment } from "./requestContainment.js";
 import { chooseRequestTargets, type SplitTargets } from "./requestTargets.js";
 import type { FindTargets } from "./targetLookup.js";
 import type { SendToGate } from "./sendToGate.js";
-import { describeFailedRequest, describeResponse, type RequestState } from "./requestState.js";
 
 export interface GatewayHandlerDependencies {
     readonly clock: Clock;
--- a/packages/oleandergap-node/src/http/monitoredExchange.ts
+++ b/packages/oleandergap-node/src/http/monitoredExchange.ts
@@ -106,7 +106,7 @@
     readonly open?: PendingAttempt;
 }
 
-/** Time after the deadline within which a response that has begun may still end. Most of them end soon. */
+/** Time after the deadline within which a response that has begun may still end, if its last bytes are on the way. */
 const BODY_GRACE_MS: Milliseconds = 200;
 
 type EndReason = "Open" | "DeadlinePassed" | "Cancelled" | "NodeStopping" | "Silent";
--- a/packages/oleandergap-rollout/src/__tests__/plan.test.ts
+++ b/packages/oleandergap-rollout/src/__tests__/plan.test.ts
@@ -7,7 +7,7 @@
 import { createOrder, createReport, createRollout, toReports } from "./support.js";
 
 const options = defaultRolloutOptions;
-const CAPACITY = { newSlots: 60, oldSlots: 60, oldInFlight: 0, hasOtherTargets: true, isSettled: true };
+const CAPACITY = { newSlots: 60, oldSlots: 60, oldInFlight: 0, hasOtherTargets: true, isObserved: true };
 
 describe("the limiter of a share", () => {
     it("never sends more than its share to the new version, however requests and targets come", () => {
@@ -76,7 +76,7 @@
     });
 
     it("does not end for lack of time at a node that has only just received it", () => {
-        const capacity = { ...CAPACITY, isSettled: false };
+        const capacity = { ...CAPACITY, isObserved: false };
         expect(planChange(createRollout(), { kind: "Undecided" }, capacity, 11_000, options)).to.equal(undefined);
     });
 
--- a/packages/oleandergap-rollout/src/__tests__/restoredTable.test.ts
+++ b/packages/oleandergap-rollout/src/__tests__/restoredTable.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import * as either from "fp-ts/lib/Either.js";
-import { createMemoryTableService, type MemoryTableService } from "oleandergap-platform";
+import { createMemoryTableService, type MemoryTableService, type TableSnapshot } from "oleandergap-platform";
 import { createManualClock, type ManualClock } from "oleandergap-utils";
 import { createRolloutRows } from "../decision/rolloutRows.js";
 import type { Rollout, RolloutState } from "../rollout.js";
@@ -40,16 +40,20 @@
         }
     };
 
+    /** Restores the table and lets the node write what is missing. Returns the row of the roll-out. */
+    const restore = async (copy: TableSnapshot): Promise<Rollout | undefined> => {
+        table.state.restore(copy);
+        rollouts.handleRestore();
+        await advance();
+        return (await loadRows())[0];
+    };
+
     for (const state of STATES) {
         it(`are written again when the copy has no row and the roll-out is ${state}`, async () => {
             const snapshot = table.state.takeSnapshot();
             receive(state);
             await advance();
-            table.state.restore(snapshot);
-            rollouts.handleRestore();
-            await advance();
-            const [row] = await loadRows();
-            expect(row).to.deep.include({ order: ORDER, state });
+            expect(await restore(snapshot)).to.deep.include({ order: ORDER, state });
         });
 
         it(`are written again when the copy has an earlier state and the roll-out is ${state}`, async () => {
@@ -58,10 +62,7 @@
             const snapshot = table.state.takeSnapshot();
             receive(state);
             await advance();
-            table.state.restore(snapshot);
-            rollouts.handleRestore();
-            await advance();
-            expect((await loadRows())[0]).to.deep.include({ order: ORDER, state });
+            expect(await restore(snapshot)).to.deep.include({ order: ORDER, state });
         });
     }
 
@@ -72,10 +73,7 @@
         await clock.advance(1000);
         other.submit(later);
         await advance();
-        table.state.restore(table.state.takeSnapshot());
-        rollouts.handleRestore();
-        await advance();
-        expect((await loadRows())[0]?.order).to.deep.equal(later);
+        expect((await restore(table.state.takeSnapshot()))?.order).to.deep.equal(later);
         expect(rollouts.list()[0]?.rollout.order).to.deep.equal(later);
     });
 });
--- a/packages/oleandergap-rollout/src/plan/capacity.ts
+++ b/packages/oleandergap-rollout/src/plan/capacity.ts
@@ -8,7 +8,7 @@
  * Time within which a node receives a report of every target. Targets report at least every 1.5 s, and a report reaches
  * all nodes within a few rounds of gossip.
  */
-const SETTLE_MS: Milliseconds = 3000;
+const REPORT_WAIT_MS: Milliseconds = 3000;
 
 /** Returns the capacity at a node that has followed the roll-out for a time. */
 export const measureCapacity = (
@@ -32,6 +32,6 @@
     return {
         ...capacity,
         hasOtherTargets: capacity.oldSlots > 0 || hasUnreportedTarget,
-        isSettled: followedMs >= SETTLE_MS,
+        isObserved: followedMs >= REPORT_WAIT_MS,
     };
 };
--- a/packages/oleandergap-rollout/src/plan/plan.ts
+++ b/packages/oleandergap-rollout/src/plan/plan.ts
@@ -19,7 +19,7 @@
     /** Whether there is a target that does not run the new version, or that has not reported its version. */
     readonly hasOtherTargets: boolean;
     /** Whether this node has followed the roll-out for long enough to have received a report of every target. */
-    readonly isSettled: boolean;
+    readonly isObserved: boolean;
 }
 
 /** A change of state that is due. */
@@ -69,10 +69,10 @@
  * all nodes would refuse the only targets of the service for good.
  */
 const planTimeout = (
-    { newSlots, hasOtherTargets, isSettled }: RolloutCapacity,
+    { newSlots, hasOtherTargets, isObserved }: RolloutCapacity,
     reason: string,
 ): DueChange | undefined => {
-    if (!isSettled) {
+    if (!isObserved) {
         return undefined;
     }
     return newSlots > 0 && !hasOtherTargets ?
--- a/packages/oleandergap-transport/src/runningRequest.ts
+++ b/packages/oleandergap-transport/src/runningRequest.ts
@@ -1,9 +1,9 @@
 /** A request that runs on an HTTP/1.1 connection: its receiver, and how far it and its response have got. */
 import type { Milliseconds } from "oleandergap-types";
+import type { BodyWatch, ResponseBodyLimits } from "./bodyWatch.js";
 import type { OutgoingRequest, ResponseReceiver } from "./requestTransport.js";
 import { FIRST_FINAL_STATUS } from "./responseHead.js";
 import { createResponseParser, type ResponseParser } from "./responseParser.js";
-import type { ResponseBodyLimits, BodyWatch } from "./bodyWatch.js";
 
 export interface RunningRequest {
     readonly receiver: ResponseReceiver;
