--- a/packages/oleandergap-demo/src/fleet/fleetNode.ts
+++ b/packages/oleandergap-demo/src/fleet/fleetNode.ts
@@ -5,7 +5,6 @@
 import type { FleetPlan, VmPlan } from "../plan/fleetPlan.js";
 import { createEarlyExitError, type Child, type ChildExit } from "../process/childProcess.js";
 import type { ProcessGroup } from "../process/processGroup.js";
-import { programs } from "./programs.js";
 import { waitForValue } from "./waitFor.js";
 
 /** The node of a VM. It keeps its id, address and settings when its process is restarted. */
@@ -39,6 +38,8 @@
     readonly settingsFile: string;
     readonly logFile: string;
     readonly processes: ProcessGroup;
+    /** Executable of the daemon. */
+    readonly daemon: string;
 }
 
 const READY_TIMEOUT: Milliseconds = 60_000;
@@ -50,7 +51,9 @@
 const READINESS_PATH = "/readyz";
 
 /** Creates the handle of a node without starting its process. */
-export const createFleetNode = ({ plan, vm, settingsFile, logFile, processes }: FleetNodeOptions): FleetNode => {
+export const createFleetNode = (
+    { plan, vm, settingsFile, logFile, processes, daemon }: FleetNodeOptions,
+): FleetNode => {
     const admin = `http://${vm.address}:${plan.ports.admin}`;
     let child: Child | undefined;
 
@@ -62,7 +65,7 @@
         }
         child = await processes.start({
             name: `node ${vm.id}`,
-            script: programs.node,
+            script: daemon,
             isExecutable: true,
             arguments: ["--settings", settingsFile],
             logFile,
--- a/packages/oleandergap-demo/src/fleet/startFleet.ts
+++ b/packages/oleandergap-demo/src/fleet/startFleet.ts
@@ -32,6 +32,8 @@
     readonly keepFiles?: boolean;
     /** Receives a short sentence for each step. */
     readonly report?: (step: string) => void;
+    /** Executable of the daemon; by default the one that is built in this workspace. */
+    readonly daemon?: string | undefined;
 }
 
 /** Starting processes are CPU-bound, so more concurrent starts would only slow down each of them. */
@@ -50,6 +52,7 @@
     readonly processes: ProcessGroup;
     readonly lifetime: AbortController;
     readonly report: (step: string) => void;
+    readonly daemon: string;
 }
 
 const startPlatform = ({ plan, files, processes }: LaunchContext): Promise<Child> => {
@@ -79,6 +82,7 @@
         settingsFile: await files.writeYaml(vm.id, createNodeSettings(plan, vm, keyFile)),
         logFile: files.logFile(vm.id),
         processes,
+        daemon: context.daemon,
     })));
     await mapWithLimit(nodes, MAX_CONCURRENT_STARTS, async (node) => {
         await node.start();
@@ -116,7 +120,7 @@
 
 const startAll = async (context: LaunchContext): Promise<StartedFleet> => {
     const { plan, report } = context;
-    await checkPrograms([programs.nodeModule, programs.platform, programs.targets]);
+    await checkPrograms([context.daemon, programs.nodeModule, programs.platform, programs.targets]);
     await checkPorts(plan);
     report("Starting the platform stand-in.");
     const platform = await startPlatform(context);
@@ -205,6 +209,7 @@
         processes: createProcessGroup(report),
         lifetime: new AbortController(),
         report,
+        daemon: options.daemon ?? programs.node,
     };
     // All clients and waits of the fleet listen to this signal, so many listeners do not indicate a leak.
     setMaxListeners(0, context.lifetime.signal);
--- /dev/null
+++ b/packages/oleandergap-measure/src/cost/addRequestCostCommand.ts
@@ -0,0 +1,65 @@
+/** The command `npm run measure -- request-cost`, which compares the CPU time of a request with two builds. */
+import { resolve } from "node:path";
+import { InvalidArgumentError, type Command } from "commander";
+import { createSystemClock } from "oleandergap-utils";
+import { compareRequestCosts, type CostRound } from "./compareRequestCosts.js";
+import { measureRequestCost, type RequestCost } from "./measureRequestCost.js";
+
+const DEFAULT_ROUNDS = 3;
+const MAX_ROUNDS = 50;
+const DAEMON_IN_CHECKOUT = "packages/oleandergap-node/bin/oleandergap-node.js";
+
+interface RequestCostOptions {
+    readonly baseline: string;
+    readonly rounds: number;
+}
+
+const parseRounds = (text: string): number => {
+    const rounds = Number(text);
+    if (!Number.isInteger(rounds) || rounds < 1 || rounds > MAX_ROUNDS) {
+        throw new InvalidArgumentError(`use an integer from 1 to ${MAX_ROUNDS}`);
+    }
+    return rounds;
+};
+
+const report = (line: string): void => {
+    process.stderr.write(`${line}\n`);
+};
+
+const formatCost = (name: string, { entryMs, gateMs, answeredShare }: RequestCost): string =>
+    `${name.padEnd(10)} entry ${entryMs.toFixed(3)} ms, gate ${gateMs.toFixed(3)} ms a request, answered ${answeredShare.toFixed(3)}`;
+
+/** Measures the builds in turn, and in each second round in the other order. */
+const measureRounds = async (baseline: string, rounds: number, signal: AbortSignal): Promise<readonly CostRound[]> => {
+    const measured: CostRound[] = [];
+    for (let round = 1; round <= rounds; round++) {
+        const context = { nodes: 0, seed: round, clock: createSystemClock(), signal, report: () => undefined };
+        const measureBaseline = (): Promise<RequestCost> => measureRequestCost(context, baseline);
+        const measureCandidate = (): Promise<RequestCost> => measureRequestCost(context, undefined);
+        const first = await (round % 2 === 1 ? measureBaseline : measureCandidate)();
+        const second = await (round % 2 === 1 ? measureCandidate : measureBaseline)();
+        const costs = round % 2 === 1 ?
+            { baseline: first, candidate: second } :
+            { baseline: second, candidate: first };
+        report(`round ${round}: ${formatCost("baseline", costs.baseline)}`);
+        report(`round ${round}: ${formatCost("this build", costs.candidate)}`);
+        measured.push(costs);
+    }
+    return measured;
+};
+
+/** Adds the command. */
+export const addRequestCostCommand = (program: Command): void => {
+    program
+        .command("request-cost")
+        .description("compares the CPU time of a request with this build and with that of another checkout")
+        .requiredOption("--baseline <folder>", "checkout whose build is compared with this one; it must be built")
+        .option("--rounds <count>", "number of measurements of each build", parseRounds, DEFAULT_ROUNDS)
+        .action(async ({ baseline, rounds }: RequestCostOptions) => {
+            const abortController = new AbortController();
+            process.once("SIGINT", () => abortController.abort(new Error("interrupted")));
+            const daemon = resolve(baseline, DAEMON_IN_CHECKOUT);
+            const comparison = compareRequestCosts(await measureRounds(daemon, rounds, abortController.signal));
+            process.stdout.write(`${JSON.stringify({ experiment: "request-cost", ...comparison })}\n`);
+        });
+};
--- a/packages/oleandergap-measure/src/main.ts
+++ b/packages/oleandergap-measure/src/main.ts
@@ -4,6 +4,7 @@
 import { createSystemClock } from "oleandergap-utils";
 import { formatResult, type Experiment } from "./experiment.js";
 import { experiments } from "./experiments.js";
+import { addRequestCostCommand } from "./cost/addRequestCostCommand.js";
 import { addProfileCommand } from "./profile/addProfileCommand.js";
 import { addRolloutsCommand } from "./rollouts/addRolloutsCommand.js";
 
@@ -66,4 +67,5 @@
 experiments.forEach((experiment) => addExperimentCommand(program, experiment));
 addProfileCommand(program);
 addRolloutsCommand(program);
+addRequestCostCommand(program);
 await program.parseAsync();
--- a/packages/oleandergap-measure/src/withFleet.ts
+++ b/packages/oleandergap-measure/src/withFleet.ts
@@ -1,5 +1,5 @@
 /** Runs the steps of an experiment on a fleet and always stops the fleet afterwards. */
-import { startFleet, type Fleet, type FleetPlan } from "oleandergap-demo";
+import { startFleet, type Fleet, type FleetOptions, type FleetPlan } from "oleandergap-demo";
 import type { ExperimentContext } from "./experiment.js";
 
 /** Delay between the start and the first measurement, in which membership and connections settle. */
@@ -13,8 +13,9 @@
     plan: FleetPlan,
     { clock, signal, report }: ExperimentContext,
     run: (fleet: Fleet) => Promise<Result>,
+    { daemon }: Pick<FleetOptions, "daemon"> = {},
 ): Promise<Result> => {
-    const fleet = await startFleet(plan, { signal, report });
+    const fleet = await startFleet(plan, { signal, report, daemon });
     try {
         await fleet.waitUntilReady();
         await clock.sleep(SETTLE_MS, signal);
