Gate: requests of other nodes that could not be started in time are refused and lower the share that the gate asks for; urgent ones are started first

Cause: the target's node reads more requests than its processor can start. They waited 250 to 535 ms in the order of arrival, and a third to a half was started after the sender had given up (121 calls Cancelled, none answered in the second from 2 to 3 s), which also costs the connection. The gate counted such a request neither as served nor as refused, so that it asked all nodes for all requests; nodes that saw no response recorded no silence either, because the gate answered confirmations meanwhile. Each side took the other for the one that counts.

Change: the lane of other nodes' requests in the turn queue starts the most urgent one first (the priority is in the head), and refuses what waited for 100 ms, unrun, with a time to come back. The gate counts these refusals as for want of capacity, so the share that it names falls. The summaries of the log name the share of time in which the event loop was busy and the processor time, which tells a node that lacks processor time from one that waits.

--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -89,6 +89,11 @@
      * kind `Refused` with the verdict `notRun`.
      */
     readonly admit: (request: AdmissionRequest) => Promise<Either<RequestFailure, Admission>>;
+    /**
+     * Refuses a request that its process could not start in time, and counts it as refused for want of capacity: the
+     * slots may be free, but requests for them are asked for faster than the process can start them.
+     */
+    readonly refuseOverdue: (request: Pick<AdmissionRequest, "priority" | "kind" | "sentShare">) => RequestFailure;
     /** Applies a new limit and number of slots. Running and waiting requests are kept. */
     readonly setLimit: (limit: Limit, slots: number) => void;
     /**
--- a/packages/oleandergap-gate/src/customerAdmission.ts
+++ b/packages/oleandergap-gate/src/customerAdmission.ts
@@ -6,9 +6,9 @@
 import { createCustomerShares } from "./customerShares.js";
 import type { Forecast } from "./forecast.js";
 import { createPriorityFloor } from "./priorityFloor.js";
-import { createRecentDemand } from "./recentDemand.js";
+import { createRecentDemand, type DemandedRequest } from "./recentDemand.js";
 import type { RankedRequest } from "./rankedQueue.js";
-import type { Decision } from "./refusals.js";
+import type { Decision, Refusals } from "./refusals.js";
 
 /** Dependencies for ranking requests by customer. */
 export interface CustomerAdmissionDependencies {
@@ -19,6 +19,7 @@
     /** Returns whether a request could start at once. */
     readonly hasFreeSlot: () => boolean;
     readonly decide: (request: RankedRequest) => Decision | Promise<Decision>;
+    readonly describeOverdue: Refusals["describeOverdue"];
 }
 
 /** Time after the last request of a customer for which a gate serves customers. */
@@ -35,7 +36,7 @@
 const MAXIMUM_LISTED = 10;
 
 /** Admission by the shares of customers. See `Gate`. */
-export type CustomerAdmission = Pick<Gate, "admit" | "admissionShare" | "listCustomers" | "listPriorities">;
+export type CustomerAdmission = Pick<Gate, "admit" | "refuseOverdue" | "admissionShare" | "listCustomers" | "listPriorities">;
 
 /** Returns whether a request was refused because it would not finish before its deadline. */
 const wasRefusedForDeadline = (decision: Decision): boolean =>
@@ -43,7 +44,7 @@
 
 /** Creates the admission by shares. Requests without a customer are never over a share. */
 export const createCustomerAdmission = (
-    { clock, forecast, capacity, hasFreeSlot, decide }: CustomerAdmissionDependencies,
+    { clock, forecast, capacity, hasFreeSlot, decide, describeOverdue }: CustomerAdmissionDependencies,
 ): CustomerAdmission => {
     const shares = createCustomerShares();
     const recentDemand = createRecentDemand(clock);
@@ -53,6 +54,16 @@
 
     const isServingCustomers = (now: Milliseconds): boolean => now - lastCustomerAt <= SERVING_MS;
 
+    const recordDecision = (
+        request: DemandedRequest & Pick<AdmissionRequest, "kind">,
+        offeredPriority: number,
+        decision: Decision,
+    ): void => {
+        const workMs = forecast.holdingTime(request.kind ?? DEFAULT_KIND);
+        recentDemand.recordDecision(request, workMs, decision);
+        priorityFloor.recordDecision(request, { offeredPriority, workMs, decision });
+    };
+
     const choosePriority = ({ priority = 0, isCall = false }: AdmissionRequest): number =>
         isCall ? CALL_PRIORITY : priority + PRIORITIES_OF_CALLS;
 
@@ -71,9 +82,7 @@
                 // again, since the same part of those that still arrive is refused.
                 return decision;
             }
-            const workMs = forecast.holdingTime(request.kind ?? DEFAULT_KIND);
-            recentDemand.recordDecision(request, workMs, decision);
-            priorityFloor.recordDecision(request, { offeredPriority, workMs, decision });
+            recordDecision(request, offeredPriority, decision);
             return decision;
         }
         const priority = choosePriority(request);
@@ -96,6 +105,13 @@
 
     return {
         admit,
+        refuseOverdue: (request) => {
+            const refusal = describeOverdue();
+            if (!isServingCustomers(clock.monotonic())) {
+                recordDecision(request, request.priority ?? 0, either.left(refusal));
+            }
+            return refusal;
+        },
         admissionShare: (priority) => isServingCustomers(clock.monotonic()) ?
             1 :
             Math.max(recentDemand.admissionShare(priority), priorityFloor.promisedShare(priority, capacity())),
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -177,7 +177,14 @@
     };
 
     return {
-        ...createCustomerAdmission({ clock, forecast, decide, capacity: () => capacity, hasFreeSlot }),
+        ...createCustomerAdmission({
+            clock,
+            forecast,
+            decide,
+            capacity: () => capacity,
+            hasFreeSlot,
+            describeOverdue: refusals.describeOverdue,
+        }),
         setLimit,
         setRequestLimit: (requestsPerSecond) => {
             requestRate.setLimit(requestsPerSecond);
--- a/packages/oleandergap-gate/src/refusals.ts
+++ b/packages/oleandergap-gate/src/refusals.ts
@@ -16,6 +16,8 @@
      * the time in which the current queue is served.
      */
     readonly forCapacity: (reason: RefusalReason, minimumDelay?: Milliseconds) => Decision;
+    /** Returns the failure of a request that its process could not start in time. */
+    readonly describeOverdue: () => RequestFailure;
     /** Refuses a request whose caller disconnected. */
     readonly forCancellation: () => Decision;
     /** Refuses a request because the gate has no target or is draining. */
@@ -37,19 +39,26 @@
     readonly state: () => GateState;
 }
 
+const createFailure = (reason: RefusalReason, retryAfterMs: Milliseconds): RequestFailure =>
+    ({ kind: "Refused", verdict: "notRun", reason, retryAfterMs });
+
 const refuse = (reason: RefusalReason, retryAfterMs: Milliseconds): Decision =>
-    either.left({ kind: "Refused", verdict: "notRun", reason, retryAfterMs });
+    either.left(createFailure(reason, retryAfterMs));
 
 /** Creates the refusals of one gate. */
 export const createRefusals = ({ clock, options, forecast, state }: RefusalsDependencies): Refusals => {
-    const forCapacity: Refusals["forCapacity"] = (reason, minimumDelay) => {
+    const scheduleRetry = (minimumDelay: Milliseconds | undefined): Milliseconds => {
         const gateState = state();
         const delay = minimumDelay ?? forecast.queueTime(gateState);
-        return refuse(reason, forecast.scheduleRetry(gateState, delay, clock.monotonic()));
+        return forecast.scheduleRetry(gateState, delay, clock.monotonic());
     };
 
+    const forCapacity: Refusals["forCapacity"] = (reason, minimumDelay) =>
+        refuse(reason, scheduleRetry(minimumDelay));
+
     return {
         forCapacity,
+        describeOverdue: () => createFailure("LimitReached", scheduleRetry(undefined)),
         forCancellation: () => refuse("Cancelled", Math.ceil(forecast.serviceInterval(state()))),
         forUnavailability: (reason) => refuse(reason, options.absentRetryAfterMs),
         forDeadline: (request, requestsAhead) => {
--- a/packages/oleandergap-node/src/__tests__/acceptBacklog.test.ts
+++ b/packages/oleandergap-node/src/__tests__/acceptBacklog.test.ts
@@ -62,13 +62,39 @@
     }).timeout(60_000);
 });
 
+const OVERLOAD_OBSERVED_MS: Milliseconds = 1500;
+/** Number of requests that take all of the processor's time meanwhile. */
+const CAPACITY = OVERLOAD_OBSERVED_MS / SERVE_MS;
+const NODE_OVERLOAD = 1.3;
+const NODE_TIMEOUT_MS: Milliseconds = 0.6 * CALLER_TIMEOUT_MS;
+/** Part of what the processor could serve that must be served while more is asked for. */
+const SERVED_PART = 0.6;
+
+// Guards against a node that starts all requests of other nodes after those have given up, while its target is idle.
+describe("requests of other nodes that are more than a node can serve", () => {
+    const cleanup = createCleanup();
+    afterEach(() => cleanup.run());
+
+    it("are served as far as the processor allows, and the rest is refused", async () => {
+        const simulation = await createBacklogSimulation(cleanup.add, {
+            callIntervalMs: Number.POSITIVE_INFINITY,
+            nodeCallIntervalMs: SERVE_MS / NODE_OVERLOAD,
+            nodeTimeoutMs: NODE_TIMEOUT_MS,
+        });
+        simulation.startCalls();
+        await simulation.run(OBSERVED_MS);
+        const observedFrom = simulation.now();
+        await simulation.run(OVERLOAD_OBSERVED_MS + CALLER_TIMEOUT_MS);
+        const results = simulation.nodeResultsSince(observedFrom, OVERLOAD_OBSERVED_MS);
+        expect(countResults(results, "Answered")).to.be.at.least(SERVED_PART * CAPACITY);
+        expect(countResults(results, "GivenUp")).to.equal(0);
+    }).timeout(60_000);
+});
+
 /** Twice the usual calls, so that serving all of them would take 1.4 of the processor's time. */
 const OVERLOAD_CALL_INTERVAL_MS = CALL_INTERVAL_MS / 2;
-const OVERLOAD_OBSERVED_MS: Milliseconds = 1500;
 const SMALL_NODE_PART = 0.2;
 const LARGE_NODE_PART = 0.6;
-/** Number of requests that take all of the processor's time meanwhile. */
-const CAPACITY = OVERLOAD_OBSERVED_MS / SERVE_MS;
 
 // Guards against nodes that stay behind after all of them have restarted, for as long as callers come again.
 describe("callers that come again faster than a node can serve them", () => {
--- a/packages/oleandergap-node/src/__tests__/backlogSimulation.ts
+++ b/packages/oleandergap-node/src/__tests__/backlogSimulation.ts
@@ -58,6 +58,8 @@
     readonly nodeCallIntervalMs?: Milliseconds;
     /** Whether other nodes keep their connections. They lose those of requests that they give up in any case. */
     readonly nodesKeepConnections?: boolean;
+    /** Time after which other nodes give a request up. It is shorter than that of callers if they sent it late. */
+    readonly nodeTimeoutMs?: Milliseconds;
 }
 
 /** The simulated node with its callers. */
@@ -84,6 +86,7 @@
     repeatsOnNewConnections: false,
     nodeCallIntervalMs: Number.POSITIVE_INFINITY,
     nodesKeepConnections: true,
+    nodeTimeoutMs: CALLER_TIMEOUT_MS,
 };
 
 /** Starts the listeners of a node. */
@@ -91,8 +94,9 @@
     cleanup: Cleanup,
     options: BacklogOptions = {},
 ): Promise<BacklogSimulation> => {
-    const { callIntervalMs, repeats, repeatsOnNewConnections, nodeCallIntervalMs, nodesKeepConnections } =
-        { ...DEFAULT_OPTIONS, ...options };
+    const {
+        callIntervalMs, repeats, repeatsOnNewConnections, nodeCallIntervalMs, nodesKeepConnections, nodeTimeoutMs,
+    } = { ...DEFAULT_OPTIONS, ...options };
     const clock = createManualClock();
     let now = clock.monotonic();
     let isPaused = false;
@@ -215,7 +219,7 @@
         }
         for (; nextNodeCallAt <= now; nextNodeCallAt += nodeCallIntervalMs) {
             const kept = nodesKeepConnections ? idleNodeSockets.pop() : undefined;
-            nodeCalls.push(startCall(CALLER_TIMEOUT_MS, 0, kept ?? connect(nodePort)));
+            nodeCalls.push(startCall(nodeTimeoutMs, 0, kept ?? connect(nodePort)));
         }
         for (; nextFloodCallAt <= now && now < floodEndsAt; nextFloodCallAt += FLOOD_INTERVAL_MS) {
             floodCalls.push(startCall(FLOOD_TIMEOUT_MS, 0, connect()));
--- a/packages/oleandergap-node/src/__tests__/customerRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/customerRequests.test.ts
@@ -6,6 +6,7 @@
 import { createLogger } from "oleandergap-logger";
 import type { Customer, CustomerDirectory, PartnerTable, Route, TableView } from "oleandergap-types";
 import { createManualClock } from "oleandergap-utils";
+import { noTargetRefusal } from "../gate/serveAtGate.js";
 import { createGateHandler } from "../gate/gateHandler.js";
 import type { GateRequest } from "../gate/gateRequest.js";
 import { createTargetCallTimes } from "../gate/targetCallTimes.js";
@@ -228,6 +229,7 @@
                 served.push(request);
                 return either.left({ kind: "Refused", verdict: "notRun", reason: "QueueFull", retryAfterMs: 10 });
             },
+            refuseOverdue: () => noTargetRefusal,
             load: () => undefined,
             admissionShare: () => undefined,
             feedback: () => undefined,
--- a/packages/oleandergap-node/src/__tests__/queuedRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/queuedRequests.test.ts
@@ -70,6 +70,26 @@
         expect(receiver.timeouts).to.deep.equal([TIMEOUT_MS - WAIT_MS]);
     });
 
+    // Guards against a gate that asks for all requests while its node starts half of them too late.
+    it("is refused unsent at the gate if it waited for too long, and other nodes are asked to send fewer", async () => {
+        const receiver = await startReceiver();
+        const gate = await startGate(cleanup.add, { clock, turns });
+        gate.targetManager.announce(createAnnouncement(receiver.port));
+        const clientResponse = sendHttpRequest({
+            port: gate.port, headers: createGateHeaders({ "oleandergap-priority": "1" }),
+        });
+        await runQueuedTasksAfterWait(true);
+        const { statusCode, headers } = await clientResponse;
+        expect(statusCode).to.equal(429);
+        expect(headers).to.include({
+            "oleandergap-verdict": "notRun",
+            "oleandergap-reason": "LimitReached",
+            "oleandergap-request-id": "attempt-1",
+        });
+        expect(Number(headers["oleandergap-admission-share"])).to.be.lessThan(1);
+        expect(receiver.timeouts).to.have.length(0);
+    });
+
     // Guards against callers that get no response from a node that is behind.
     it("is refused unsent at the gateway if it waited for too long", async () => {
         const receiver = await startReceiver();
--- a/packages/oleandergap-node/src/__tests__/requestTally.test.ts
+++ b/packages/oleandergap-node/src/__tests__/requestTally.test.ts
@@ -23,7 +23,9 @@
         };
         const load = { inFlight: 4, queued: 2, capacity: 4, expectedWaitMs: 0 };
         const controller = new AbortController();
-        const tally = createRequestTally({ clock, logger, load: () => load });
+        const tally = createRequestTally({
+            clock, logger, load: () => load, readProcessLoad: () => ({ busyShare: 0.987, cpuMs: 512.4 }),
+        });
         tally.start(controller.signal);
         return { clock, lines, tally, controller };
     };
@@ -37,7 +39,7 @@
         await clock.advance(1000);
         expect(lines).to.deep.equal([{
             at: "gate", ends: "view QueueFull 1000x3ms, lodge 2xx 1x80ms", uncounted: 0,
-            gate: "4 running of 4, 2 queued",
+            gate: "4 running of 4, 2 queued", busyShare: 0.99, cpuMs: 512,
         }]);
         controller.abort();
     });
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -16,7 +16,7 @@
 import { createGateHandler } from "../gate/gateHandler.js";
 import { createOpenRequests } from "../http/openRequests.js";
 import type { ServeAtGate } from "../gate/gateRequest.js";
-import { createServeAtGate } from "../gate/serveAtGate.js";
+import { createServeAtGate, noTargetRefusal } from "../gate/serveAtGate.js";
 import { createConnectionPools, type ConnectionPools } from "../http/connectionPools.js";
 import { startListener, type HandleArrival, type Listener, type ListenerOptions } from "../http/listener.js";
 import { defaultDialects } from "../http/dialect.js";
@@ -305,6 +305,7 @@
         readCallerRequestId: defaultDialects.caller.readRequestId,
         countRequest: () => undefined,
         serve,
+        refuseOverdue: (request) => targetManager.current()?.gate.refuseOverdue(request) ?? noTargetRefusal,
         load: () => targetManager.current()?.gate.load(),
         admissionShare: (priority) => targetManager.current()?.gate.admissionShare(priority),
         loadExchange: options.loadExchange ?? { shareLoads: () => [], recordSharedLoads: () => undefined },
--- a/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
+++ b/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
@@ -90,15 +90,37 @@
     });
 
     // Guards against callers that get no response from a node that is behind.
-    it("are overdue after a while, those of callers only", async () => {
+    it("are overdue after a while", async () => {
         const { queue, started } = await queueCallers(3);
         runTurn();
         runTurn();
+        await clock.advance(160);
         queue.nodes.run((isOverdue) => started.push(`node ${isOverdue ? "overdue" : "in time"}`) > 0);
-        await clock.advance(250);
+        await clock.advance(90);
         runTurn();
         expect(started).to.deep.equal(["caller 0", "overdue 1", "overdue 2", "node in time"]);
     });
+
+    // Guards against requests of other nodes that are started when their senders are about to give up.
+    it("are overdue earlier if they are those of other nodes", async () => {
+        const { queue, started } = await queueCallers(0);
+        queue.nodes.run((isOverdue) => started.push(`node ${isOverdue ? "overdue" : "in time"}`) > 0);
+        queue.callers.run((isOverdue) => started.push(`caller ${isOverdue ? "overdue" : "in time"}`) > 0);
+        await clock.advance(110);
+        runTurn();
+        expect(started).to.deep.equal(["node overdue", "caller in time"]);
+    });
+
+    // Guards against urgent requests of other nodes that are late because the node is behind with less urgent ones.
+    it("are started by their priority if they are those of other nodes", async () => {
+        const { queue, started } = await queueCallers(0);
+        for (const [index, priority] of [2, 1, 99, 1, 0].entries()) {
+            queue.nodes.run(() => started.push(`${priority} (${index})`) > 0, priority);
+        }
+        Array.from({ length: 8 }).forEach(runTurn);
+        expect(started).to.deep.equal(["0 (4)", "1 (1)", "1 (3)", "2 (0)", "99 (2)"]);
+        expect(queue.size()).to.equal(0);
+    });
 });
 
 /*
--- a/packages/oleandergap-node/src/admin/requestTally.ts
+++ b/packages/oleandergap-node/src/admin/requestTally.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Clock, GateLoad, Milliseconds } from "oleandergap-types";
 import type { ServedAt } from "./metrics.js";
+import type { ProcessLoad, ReadProcessLoad } from "./processLoad.js";
 
 /** Interval between two lines for one point. */
 const PERIOD_MS: Milliseconds = 1000;
@@ -19,6 +20,8 @@
 /** Maximum number of different ends that are counted in one period. */
 const MAX_COUNTED_ENDS = 512;
 
+const SHARE_DECIMALS = 2;
+
 /** One request that ended. */
 export interface EndedRequest {
     readonly at: ServedAt;
@@ -35,6 +38,7 @@
     readonly logger: Logger;
     /** Returns the load of the local gate; undefined without a target. */
     readonly load: () => GateLoad | undefined;
+    readonly readProcessLoad: ReadProcessLoad;
 }
 
 export interface RequestTally {
@@ -71,7 +75,7 @@
     load === undefined ? "no target" : `${load.inFlight} running of ${load.capacity}, ${load.queued} queued`;
 
 /** Creates a tally that counts immediately. It writes no line for a second in which no request failed. */
-export const createRequestTally = ({ clock, logger, load }: RequestTallyOptions): RequestTally => {
+export const createRequestTally = ({ clock, logger, load, readProcessLoad }: RequestTallyOptions): RequestTally => {
     const countsByPoint: Record<ServedAt, PointCounts> = { gateway: createPointCounts(), gate: createPointCounts() };
 
     const note: RequestTally["note"] = ({ at, kind, end, isFailure, durationMs }) => {
@@ -89,7 +93,7 @@
         pointCounts.hasFailures ||= isFailure;
     };
 
-    const writeLine = (at: ServedAt): void => {
+    const writeLine = (at: ServedAt, { busyShare, cpuMs }: ProcessLoad): void => {
         const pointCounts = countsByPoint[at];
         if (pointCounts.hasFailures) {
             logger.info("Request summary of the last second.", {
@@ -97,6 +101,8 @@
                 ends: describeEnds(pointCounts),
                 uncounted: pointCounts.uncounted,
                 gate: describeLoad(load()),
+                busyShare: Number(busyShare.toFixed(SHARE_DECIMALS)),
+                cpuMs: Math.round(cpuMs),
             });
         }
         countsByPoint[at] = createPointCounts();
@@ -104,8 +110,9 @@
 
     const start = (signal: AbortSignal): void => {
         clock.after(PERIOD_MS, () => {
-            writeLine("gateway");
-            writeLine("gate");
+            const processLoad = readProcessLoad();
+            writeLine("gateway", processLoad);
+            writeLine("gate", processLoad);
             if (!signal.aborted) {
                 start(signal);
             }
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -3,6 +3,7 @@
 import type { LoadExchange } from "oleandergap-routing";
 import { createClaimSweeper, type ClaimSweeper } from "oleandergap-idempotency";
 import type { Clock, GateLoad } from "oleandergap-types";
+import { createProcessLoadReader } from "../admin/processLoad.js";
 import { createRequestTally, type RequestTally } from "../admin/requestTally.js";
 import { recordRequestEnd } from "../admin/recordRequestEnd.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
@@ -21,7 +22,7 @@
 import type { ServeAtGate } from "./gateRequest.js";
 import { createRolloutObserver } from "./rolloutObserver.js";
 import { createTargetRunObserver } from "./createTargetRunObserver.js";
-import { createServeAtGate } from "./serveAtGate.js";
+import { createServeAtGate, noTargetRefusal } from "./serveAtGate.js";
 import { createTargetCallTimes, type TargetCallTimes } from "./targetCallTimes.js";
 import type { UnservedCalls } from "./unservedCalls.js";
 
@@ -117,7 +118,12 @@
     const claimSweeper = createSweeper(dependencies, localService.services);
     const load: GatePath["load"] = (kind) => target.current()?.gate.load(kind);
     const admissionShare: GatePath["admissionShare"] = (priority) => target.current()?.gate.admissionShare(priority);
-    const tally = createRequestTally({ clock: backgroundClock, logger: createPartLogger("request"), load });
+    const tally = createRequestTally({
+        clock: backgroundClock,
+        logger: createPartLogger("request"),
+        load,
+        readProcessLoad: createProcessLoadReader(),
+    });
     tally.start(dependencies.signal);
     const { containment, rollouts } = dependencies;
     const callTimes = createTargetCallTimes(clock, requests.usualTimeoutMs);
@@ -144,6 +150,11 @@
         openRequests: parts.openRequests,
         readCallerRequestId: dependencies.dialects.caller.readRequestId,
         serve,
+        refuseOverdue: (request) => {
+            const failure = target.current()?.gate.refuseOverdue(request) ?? noTargetRefusal;
+            recordRequestEnd(tally, "gate", request.kind, { kind: "Failed", failure }, 0);
+            return failure;
+        },
         load,
         admissionShare,
         loadExchange: parts.loadExchange,
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -31,7 +31,6 @@
     IDEMPOTENT_HEADER,
     KIND_HEADER,
     OBJECTIVE_HEADER,
-    PRIORITY_HEADER,
     readRequestHeader,
     selectRequestHeaders,
     SENDER_STOPS_HEADER,
@@ -54,6 +53,7 @@
 import { parseTimeout } from "../http/timeoutHeader.js";
 import { destroyResponse } from "../http/pipelinedRequests.js";
 import { writeResponse, writeFailure } from "../http/writeResponse.js";
+import { readGatePriority } from "./gatePriority.js";
 import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import { startRequestHeartbeats } from "./requestHeartbeats.js";
 
@@ -64,6 +64,8 @@
     /** Returns the id that the caller assigned to the request. */
     readonly readCallerRequestId: (request: IncomingMessage) => string | undefined;
     readonly serve: ServeAtGate;
+    /** Refuses a request that waited for too long to be started; see `Gate`. */
+    readonly refuseOverdue: (request: OverdueRequest) => RequestFailure;
     /** Returns the load of the gate; undefined while there is no target. */
     readonly load: (kind?: string) => GateLoad | undefined;
     /** Returns the share of the requests of a priority that nodes should send; undefined while there is no target. */
@@ -105,13 +107,6 @@
     return headerValue === undefined ? isIdempotentMethod(method) : headerValue === "yes";
 };
 
-const PRIORITY_PATTERN = /^\d{1,7}$/;
-
-const readPriority = (request: IncomingMessage): number => {
-    const headerValue = readRequestHeader(request, PRIORITY_HEADER);
-    return headerValue !== undefined && PRIORITY_PATTERN.test(headerValue) ? Number(headerValue) : 0;
-};
-
 const MILLISECONDS_PATTERN = /^-?\d{1,9}$/;
 
 /** Reads a header that holds the time from `now` to a moment, in milliseconds. */
@@ -123,11 +118,20 @@
 const readCustomer = (request: IncomingMessage): CustomerName | undefined =>
     customerNameSchema.safeParse(readRequestHeader(request, CUSTOMER_HEADER)).data;
 
+/** What is read of a request that is refused because it waited for too long to be started. */
+export type OverdueRequest = Pick<GateRequest, "kind" | "priority" | "sentShare">;
+
+const readOverdueRequest = (request: IncomingMessage): OverdueRequest => ({
+    kind: readRequestHeader(request, KIND_HEADER) ?? "",
+    priority: readGatePriority(request),
+    sentShare: parseShare(readRequestHeader(request, SENT_SHARE_HEADER)),
+});
+
 type GateRequestHead = Omit<GateRequest, "body" | "onAdmitted" | "signal">;
 
 /** The parts of a request that were received before it was refused. */
 interface ReceivedParts {
-    readonly head?: GateRequestHead;
+    readonly head?: Pick<GateRequestHead, "kind" | "priority">;
     readonly body?: RequestBody;
 }
 
@@ -163,7 +167,7 @@
         headers: selectRequestHeaders(request),
         host: request.headers.host ?? "",
         idempotent: isIdempotentRequest(request, method),
-        priority: readPriority(request),
+        priority: readGatePriority(request),
         customer: readCustomer(request),
         kind: readRequestHeader(request, KIND_HEADER) ?? "",
         sentShare: parseShare(readRequestHeader(request, SENT_SHARE_HEADER)),
@@ -265,13 +269,24 @@
         });
     };
 
+    const refuseOverdue = (request: IncomingMessage, response: ServerResponse): void => {
+        const overdue = readOverdueRequest(request);
+        const failure = dependencies.refuseOverdue(overdue);
+        dependencies.countRequest({ kind: "Failed", failure }, 0);
+        refuse(response, failure, readRequestHeader(request, REQUEST_ID_HEADER), { head: overdue });
+    };
+
     const handle = async (
         request: IncomingMessage,
         response: ServerResponse,
-        receivedAt: Milliseconds,
+        { receivedAt, isOverdue }: RequestArrival,
     ): Promise<void> => {
-        const arrival = { receivedAt, lagMs: dependencies.recentLag() };
-        const head = parseRequestHead(request, dependencies.usualTimeoutMs, arrival);
+        if (isOverdue) {
+            refuseOverdue(request, response);
+            return;
+        }
+        const lagMs = dependencies.recentLag();
+        const head = parseRequestHead(request, dependencies.usualTimeoutMs, { receivedAt, lagMs });
         if (either.isLeft(head)) {
             refuse(response, head.left, readRequestHeader(request, REQUEST_ID_HEADER));
             return;
@@ -289,8 +304,8 @@
         await serveBody(response, head.right, body.right);
     };
 
-    return (request: IncomingMessage, response: ServerResponse, { receivedAt }: RequestArrival): void => {
-        handle(request, response, receivedAt).catch((error: unknown) => {
+    return (request: IncomingMessage, response: ServerResponse, arrival: RequestArrival): void => {
+        handle(request, response, arrival).catch((error: unknown) => {
             dependencies.logger.error("A request failed unexpectedly.", { detail: String(error) });
             destroyResponse(response);
         });
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -40,7 +40,8 @@
 
 type Outcome = Either<RequestFailure, UpstreamResponse>;
 
-const noTargetRefusal: RequestFailure = {
+/** Refusal at a node without a target. */
+export const noTargetRefusal: RequestFailure = {
     kind: "Refused",
     verdict: "notRun",
     reason: "NoTarget",
--- a/packages/oleandergap-node/src/http/listener.ts
+++ b/packages/oleandergap-node/src/http/listener.ts
@@ -65,6 +65,8 @@
     readonly handle: HandleArrival;
     /** Schedules when a received request is handled. Without it, requests are handled immediately. */
     readonly turns?: TurnLane | undefined;
+    /** Returns the priority of a request among those that wait to be handled; by default, all have the same. */
+    readonly readPriority?: ((request: IncomingMessage) => number) | undefined;
     /** Counts connections and requests. */
     readonly tally?: ArrivalTally | undefined;
     /** Called when a connection is refused because `maxConnections` are open. */
@@ -200,7 +202,7 @@
             tally?.recordStart({ waitMs, isOverdue, hasSender: hasCaller });
             options.handle(request, response, { ...arrival, isOverdue });
             return hasCaller;
-        });
+        }, options.readPriority?.(request));
     };
 
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
--- a/packages/oleandergap-node/src/http/turnQueue.ts
+++ b/packages/oleandergap-node/src/http/turnQueue.ts
@@ -11,7 +11,7 @@
  * A process that receives more requests than it can start must not start each of them late. Callers that give up come
  * back on new connections, so that such a process would stay behind for as long as they do. Therefore:
  * - Requests of other nodes hardly wait for those of callers. Another node has admitted them, and if they were late,
- *   the targets would be idle while callers wait for them.
+ *   the targets would be idle while callers wait for them. The most urgent ones are started first.
  * - While the oldest first request waits for long, the newest one is started first: its caller is still waiting.
  * - Requests that waited for too long are refused, which costs little.
  * - A few connections are accepted for each first request that is started, as the age of a request is unknown before it
@@ -19,6 +19,7 @@
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { createTaskList, type QueuedTask, type TaskList, type TurnTask } from "./taskList.js";
+import { createUrgencyList } from "./urgencyList.js";
 
 /** Runs `task` in the next iteration of the event loop. */
 export type RunNextTurn = (task: () => void) => void;
@@ -56,19 +57,28 @@
 /** Wait after which a request of a caller is refused. It leaves the caller time for a second try. */
 const MAX_WAIT_MS: Milliseconds = 200;
 
+/**
+ * Wait after which a request of another node is refused. Calls of targets expire within a few hundred milliseconds, and
+ * requests that are given up while they wait cost most of what served ones cost.
+ */
+const MAX_NODE_WAIT_MS: Milliseconds = 100;
+
 /** Maximum number of requests of one kind that are refused in one iteration because they waited for too long. */
 const MAX_OVERDUE_TASKS = 3;
 
 /** The queue as the listener of one kind of senders sees it. */
 export interface TurnLane {
-    /** Runs `task` immediately if it is the first one in this iteration, otherwise in a later iteration. */
-    readonly run: (task: TurnTask) => void;
+    /**
+     * Runs `task` immediately if it is the first one in this iteration, otherwise in a later iteration. `priority` is
+     * that of a request of another node; lower numbers are started first.
+     */
+    readonly run: (task: TurnTask, priority?: number) => void;
     /**
      * Like `run`, for the first request of a connection. Delays it by a few iterations, because the connection may have
      * waited in the accept queue for a long time and its remote side may have disconnected. Requests of callers also
      * wait for a limited number of iterations while connections are accepted.
      */
-    readonly runFirst: (task: TurnTask) => void;
+    readonly runFirst: (task: TurnTask, priority?: number) => void;
     /** Records that a connection was accepted in this iteration. */
     readonly recordConnection: () => void;
 }
@@ -76,7 +86,7 @@
 /** A queue of the requests of callers and of other nodes. */
 export interface TurnQueue {
     readonly callers: TurnLane;
-    /** Requests of other nodes. One is started in each iteration, before one of a caller, and none is overdue. */
+    /** Requests of other nodes. One is started in each iteration, before one of a caller. */
     readonly nodes: TurnLane;
     /** Returns the number of queued tasks. */
     readonly size: () => number;
@@ -89,13 +99,19 @@
     readonly runNextTurn?: RunNextTurn;
 }
 
+type OrderedTasks = Pick<TaskList, "oldest" | "takeOldest">;
+
+interface AddTask {
+    readonly add: (task: QueuedTask, priority: number) => void;
+}
+
 const getPosition = (task: QueuedTask | undefined): number => task?.position ?? Number.POSITIVE_INFINITY;
 
 /** Creates an empty queue. Tasks must not throw. */
 export const createTurnQueue = (
     { clock, runNextTurn = (task) => void setImmediate(task) }: TurnQueueOptions,
 ): TurnQueue => {
-    const nodeRequests = createTaskList();
+    const nodeRequests = createUrgencyList();
     const firstRequests = createTaskList();
     const laterRequests = createTaskList();
     let nextPosition = 0;
@@ -143,17 +159,18 @@
     };
 
     /** Refuses requests that waited for too long. */
-    const runOverdue = (list: TaskList): void => {
-        for (let count = 0; count < MAX_OVERDUE_TASKS && hasWaited(list.oldest(), MAX_WAIT_MS); count++) {
+    const runOverdue = (list: OrderedTasks, longestMs: Milliseconds): void => {
+        for (let count = 0; count < MAX_OVERDUE_TASKS && hasWaited(list.oldest(), longestMs); count++) {
             list.takeOldest()?.run(true);
         }
     };
 
     const runTurn = (): void => {
         const hadTasks = size() > 0;
-        runOverdue(firstRequests);
-        runOverdue(laterRequests);
-        runNextOf(nodeRequests.takeOldest);
+        runOverdue(firstRequests, MAX_WAIT_MS);
+        runOverdue(laterRequests, MAX_WAIT_MS);
+        runOverdue(nodeRequests, MAX_NODE_WAIT_MS);
+        runNextOf(nodeRequests.takeMostUrgent);
         const isWithFirst = !isAccepting();
         if (!isForNodes()) {
             runNextOf(() => takeCallerRequest(isWithFirst));
@@ -173,9 +190,9 @@
         }
     };
 
-    const runIn = (list: TaskList, task: TurnTask): void => {
+    const runIn = (list: AddTask, task: TurnTask, priority: number): void => {
         if (isTurnScheduled) {
-            list.add({ position: nextPosition, queuedAt: clock.monotonic(), run: task });
+            list.add({ position: nextPosition, queuedAt: clock.monotonic(), run: task }, priority);
             nextPosition += 1;
             return;
         }
@@ -183,17 +200,17 @@
         task(false);
     };
 
-    const runAfter = (list: TaskList, turns: number, task: TurnTask): void => {
+    const runAfter = (list: AddTask, turns: number, task: TurnTask, priority: number): void => {
         if (turns === 0) {
-            runIn(list, task);
+            runIn(list, task, priority);
             return;
         }
-        runNextTurn(() => runAfter(list, turns - 1, task));
+        runNextTurn(() => runAfter(list, turns - 1, task, priority));
     };
 
-    const createLane = (first: TaskList, later: TaskList, recordConnection: () => void): TurnLane => ({
-        run: (task) => runIn(later, task),
-        runFirst: (task) => runAfter(first, TURNS_TO_DETECT_CLOSE, task),
+    const createLane = (first: AddTask, later: AddTask, recordConnection: () => void): TurnLane => ({
+        run: (task, priority = 0) => runIn(later, task, priority),
+        runFirst: (task, priority = 0) => runAfter(first, TURNS_TO_DETECT_CLOSE, task, priority),
         recordConnection,
     });
 
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Clock } from "oleandergap-types";
 import type { ListenerDefinition } from "./adapters.js";
+import { readGatePriority } from "./gate/gatePriority.js";
 import { createArrivalTally } from "./http/arrivalTally.js";
 import { startListener, type HandleArrival, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
 import { createRefusedConnectionLog } from "./http/refusedConnectionLog.js";
@@ -66,6 +67,7 @@
             clock,
             acceptQueueLength: turns && ACCEPT_QUEUE_LENGTH,
             turns,
+            readPriority: turns === requestTurns.nodes ? readGatePriority : undefined,
             tally: turns && createArrivalTally({ clock, logger, listener: definition.name }),
             onRefusedConnection: createRefusedConnectionLog({
                 clock, logger, listener: definition.name, maxConnections: requests.maxConnections,
