Readiness: callers of a node whose target needs all of its processor time are asked to use other nodes that have room

Cause: any node can serve a caller, but only the node beside a target can serve it. A saturated node said that it was ready, and nobody compared nodes.

Change: nodes report the busy share of their event loop to the gates that they send requests to, at most every 250 ms each, in a header that older builds ignore. A node that is busy for 95 in 100 of half a second, gets at least twice as many requests from nodes as from callers and sees a mean of 85 in 100 at most elsewhere is not ready until it is busy for 70 in 100 or the others are saturated, and for 3 s at least. The gate also no longer parses the name of a customer that no request carries.

--- a/packages/oleandergap-node/src/__tests__/customerRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/customerRequests.test.ts
@@ -230,6 +230,7 @@
                 return either.left({ kind: "Refused", verdict: "notRun", reason: "QueueFull", retryAfterMs: 10 });
             },
             refuseOverdue: () => noTargetRefusal,
+            recordSenderLoad: () => undefined,
             load: () => undefined,
             admissionShare: () => undefined,
             feedback: () => undefined,
--- a/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
+++ b/packages/oleandergap-node/src/__tests__/gatewaySupport.ts
@@ -80,6 +80,7 @@
     readonly turns?: ListenerOptions["turns"];
     /** See `SendToGateDependencies`. */
     readonly endsAt?: () => number | undefined;
+    readonly describeOwnLoad?: (nodeId: string) => string | undefined;
 }
 
 /** Starts the gateway of a node. None of the targets belongs to that node. */
@@ -126,6 +127,7 @@
             logUnresponsiveGate: options.logUnresponsiveGate ?? (() => undefined),
             feedbackMemory: createFeedbackMemory(),
             endsAt: options.endsAt ?? (() => undefined),
+            describeOwnLoad: options.describeOwnLoad ?? (() => undefined),
         }),
         createRequestContainment: createRequestContainment(options.containment ?? createIsolatedContainment(clock)),
         quota: options.quota ?? createUnlimitedQuota(clock),
--- a/packages/oleandergap-node/src/__tests__/support.ts
+++ b/packages/oleandergap-node/src/__tests__/support.ts
@@ -248,6 +248,7 @@
     readonly rollouts?: Rollouts<never>;
     /** See `EventLoopLagMonitor`; 0 by default. */
     readonly recentLag?: () => number;
+    readonly recordSenderLoad?: (header: string | undefined) => void;
     /**
      * Resolves when pending input has been read; undefined if the event loop does not lag. See `EventLoopLagMonitor`.
      */
@@ -306,6 +307,7 @@
         countRequest: () => undefined,
         serve,
         refuseOverdue: (request) => targetManager.current()?.gate.refuseOverdue(request) ?? noTargetRefusal,
+        recordSenderLoad: options.recordSenderLoad ?? (() => undefined),
         load: () => targetManager.current()?.gate.load(),
         admissionShare: (priority) => targetManager.current()?.gate.admissionShare(priority),
         loadExchange: options.loadExchange ?? { shareLoads: () => [], recordSharedLoads: () => undefined },
--- a/packages/oleandergap-node/src/admin/readiness.ts
+++ b/packages/oleandergap-node/src/admin/readiness.ts
@@ -24,7 +24,8 @@
 export const createReadinessState = (): ReadinessState =>
     ({ listening: false, recovered: false, draining: false, refusing: false, endsAt: undefined });
 
-export const describeReadiness = (state: ReadinessState): Readiness => {
+/** Describes the readiness of a node, whose callers should use other nodes if `isDivertingCallers` is set. */
+export const describeReadiness = (state: ReadinessState, isDivertingCallers = false): Readiness => {
     const reasons: string[] = [];
     if (!state.listening) {
         reasons.push("not all ports are listening");
@@ -35,6 +36,9 @@
     if (state.draining) {
         reasons.push("the node is draining");
     }
+    if (isDivertingCallers) {
+        reasons.push("the target needs all of the node's CPU time");
+    }
     return { ready: reasons.length === 0, reasons };
 };
 
--- a/packages/oleandergap-node/src/admin/requestTally.ts
+++ b/packages/oleandergap-node/src/admin/requestTally.ts
@@ -8,7 +8,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Clock, GateLoad, Milliseconds } from "oleandergap-types";
 import type { ServedAt } from "./metrics.js";
-import type { ProcessLoad, ReadProcessLoad } from "./processLoad.js";
+import type { ProcessLoad, ReadProcessLoad } from "../overload/processLoad.js";
 
 /** Interval between two lines for one point. */
 const PERIOD_MS: Milliseconds = 1000;
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -10,7 +10,7 @@
 import { createAdminHandler } from "./admin/adminHandler.js";
 import { addNodeGauges } from "./admin/gauges.js";
 import { createNodeMetrics } from "./admin/metrics.js";
-import { createReadinessState, describeReadiness } from "./admin/readiness.js";
+import { createReadinessState, describeReadiness, type Readiness } from "./admin/readiness.js";
 import { createControlHandler } from "./control/controlHandler.js";
 import { createNodeRoutes } from "./control/nodeRoutes.js";
 import { createPeerAccess } from "./control/peerAccess.js";
@@ -136,6 +136,8 @@
     openProcessorProfile({ options, clock, logger: createLogger("profile"), signal });
     addNodeGauges(metrics, { controlPlane, requestPath, peerAccess, tableService, objectStore, readiness });
 
+    const describeNodeReadiness = (): Readiness => describeReadiness(readiness, requestPath.isDivertingCallers());
+
     return createNodeLifecycle({
         options,
         clock,
@@ -153,14 +155,14 @@
             ),
             admin: createAdminHandler({
                 target: requestPath.target,
-                readiness: () => describeReadiness(readiness),
+                readiness: describeNodeReadiness,
                 readMetrics: metrics.read,
                 logger: createLogger("admin"),
             }),
         },
         additionalListeners: adapters.createListeners({
             target: requestPath.target,
-            readiness: () => describeReadiness(readiness),
+            readiness: describeNodeReadiness,
             createPartLogger: createLogger,
         }),
         onRecovered: publishTarget,
--- a/packages/oleandergap-node/src/createRequestPath.ts
+++ b/packages/oleandergap-node/src/createRequestPath.ts
@@ -6,6 +6,9 @@
 import { createConnectionPools, type ConnectionPools } from "./http/connectionPools.js";
 import { startEventLoopLagMonitor } from "./http/eventLoopLag.js";
 import { createOpenRequests } from "./http/openRequests.js";
+import type { HandleArrival } from "./http/listener.js";
+import { createOverloadMonitor, type OverloadMonitor, type RequestSender } from "./overload/overloadMonitor.js";
+import { createProcessLoadReader } from "./overload/processLoad.js";
 import type { RequestPath, RequestPathDependencies } from "./requestPathTypes.js";
 import { createLocalService } from "./target/localService.js";
 
@@ -22,12 +25,28 @@
     return (lagMs) => logger.warn("The event loop lagged.", { lagMs: Math.round(lagMs) });
 };
 
+const countRequests = (
+    { recordRequest }: Pick<OverloadMonitor, "recordRequest">,
+    sender: RequestSender,
+    handle: HandleArrival,
+): HandleArrival => (request, response, arrival) => {
+    recordRequest(sender);
+    handle(request, response, arrival);
+};
+
 /** Creates the gateway and the gate of a node. Background work ends when the signal aborts. */
 export const createRequestPath = (dependencies: RequestPathDependencies): RequestPath => {
     const { clock, signal } = dependencies;
     const pools = createPools(dependencies);
     const onPause = createPauseLog(dependencies);
     const { catchUp, recentLag, pausedTime } = startEventLoopLagMonitor({ clock, onPause }, signal);
+    const overloadMonitor = createOverloadMonitor({
+        clock,
+        backgroundClock: dependencies.backgroundClock,
+        logger: dependencies.createPartLogger("node"),
+        readProcessLoad: createProcessLoadReader(),
+    });
+    overloadMonitor.start(signal);
     const target = createTarget(dependencies, pausedTime);
     const openRequests = { gateway: createOpenRequests(clock), gate: createOpenRequests(clock) };
     const unservedCalls = createUnservedCalls(clock);
@@ -42,6 +61,7 @@
         recentLag,
         isFailureExplained: unservedCalls.explain,
         openRequests: openRequests.gate,
+        overloadMonitor,
     });
     const handleGateway = createGatewayPath(dependencies, {
         pools,
@@ -51,6 +71,7 @@
         openRequests: openRequests.gateway,
         catchUp,
         recordUnserved: unservedCalls.note,
+        overloadMonitor,
     });
     return {
         target,
@@ -58,8 +79,9 @@
         claimSweeper: gate.claimSweeper,
         pools,
         describeTargets: picker.targets,
-        handleGate: gate.handleGate,
-        handleGateway,
+        handleGate: countRequests(overloadMonitor, "Node", gate.handleGate),
+        handleGateway: countRequests(overloadMonitor, "Caller", handleGateway),
+        isDivertingCallers: overloadMonitor.isDiverting,
         openRequests,
         hasSubstitute: localService.hasSubstitute,
     };
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -3,7 +3,8 @@
 import type { LoadExchange } from "oleandergap-routing";
 import { createClaimSweeper, type ClaimSweeper } from "oleandergap-idempotency";
 import type { Clock, GateLoad } from "oleandergap-types";
-import { createProcessLoadReader } from "../admin/processLoad.js";
+import type { OverloadMonitor } from "../overload/overloadMonitor.js";
+import { createProcessLoadReader } from "../overload/processLoad.js";
 import { createRequestTally, type RequestTally } from "../admin/requestTally.js";
 import { recordRequestEnd } from "../admin/recordRequestEnd.js";
 import type { ConnectionPools } from "../http/connectionPools.js";
@@ -38,6 +39,7 @@
     readonly isFailureExplained: UnservedCalls["explain"];
     /** The requests of other nodes that are in flight. */
     readonly openRequests: OpenRequests;
+    readonly overloadMonitor: Pick<OverloadMonitor, "recordReport">;
 }
 
 /** The gate of a node. */
@@ -155,6 +157,7 @@
             recordRequestEnd(tally, "gate", request.kind, { kind: "Failed", failure }, 0);
             return failure;
         },
+        recordSenderLoad: parts.overloadMonitor.recordReport,
         load,
         admissionShare,
         loadExchange: parts.loadExchange,
--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -33,6 +33,7 @@
     OBJECTIVE_HEADER,
     readRequestHeader,
     selectRequestHeaders,
+    SENDER_BUSY_HEADER,
     SENDER_STOPS_HEADER,
     SENT_SHARE_HEADER,
     SHARED_LOADS_HEADER,
@@ -53,6 +54,7 @@
 import { parseTimeout } from "../http/timeoutHeader.js";
 import { destroyResponse } from "../http/pipelinedRequests.js";
 import { writeResponse, writeFailure } from "../http/writeResponse.js";
+import type { OverloadMonitor } from "../overload/overloadMonitor.js";
 import { readGatePriority } from "./gatePriority.js";
 import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import { startRequestHeartbeats } from "./requestHeartbeats.js";
@@ -66,6 +68,8 @@
     readonly serve: ServeAtGate;
     /** Refuses a request that waited for too long to be started; see `Gate`. */
     readonly refuseOverdue: (request: OverdueRequest) => RequestFailure;
+    /** Records what the sender of a request reports of its load; undefined if it reports nothing. */
+    readonly recordSenderLoad: OverloadMonitor["recordReport"];
     /** Returns the load of the gate; undefined while there is no target. */
     readonly load: (kind?: string) => GateLoad | undefined;
     /** Returns the share of the requests of a priority that nodes should send; undefined while there is no target. */
@@ -115,8 +119,10 @@
     return headerValue !== undefined && MILLISECONDS_PATTERN.test(headerValue) ? now + Number(headerValue) : undefined;
 };
 
-const readCustomer = (request: IncomingMessage): CustomerName | undefined =>
-    customerNameSchema.safeParse(readRequestHeader(request, CUSTOMER_HEADER)).data;
+const readCustomer = (request: IncomingMessage): CustomerName | undefined => {
+    const name = readRequestHeader(request, CUSTOMER_HEADER);
+    return name === undefined ? undefined : customerNameSchema.safeParse(name).data;
+};
 
 /** What is read of a request that is refused because it waited for too long to be started. */
 export type OverdueRequest = Pick<GateRequest, "kind" | "priority" | "sentShare">;
@@ -281,6 +287,7 @@
         response: ServerResponse,
         { receivedAt, isOverdue }: RequestArrival,
     ): Promise<void> => {
+        dependencies.recordSenderLoad(readRequestHeader(request, SENDER_BUSY_HEADER));
         if (isOverdue) {
             refuseOverdue(request, response);
             return;
--- a/packages/oleandergap-node/src/gateway/createGatewayPath.ts
+++ b/packages/oleandergap-node/src/gateway/createGatewayPath.ts
@@ -21,6 +21,7 @@
 import type { HandleArrival } from "../http/listener.js";
 import type { OpenRequests } from "../http/openRequests.js";
 import type { EventLoopLagMonitor } from "../http/eventLoopLag.js";
+import type { OverloadMonitor } from "../overload/overloadMonitor.js";
 import type { RequestPathDependencies } from "../requestPathTypes.js";
 import { createNodeStopAdmission, findStopRefusal, type CallerIdentity } from "../stop/stopAdmission.js";
 import { createCallerServiceLookup } from "../target/localService.js";
@@ -47,6 +48,7 @@
     readonly openRequests: OpenRequests;
     readonly catchUp: EventLoopLagMonitor["catchUp"];
     readonly recordUnserved: UnservedCalls["note"];
+    readonly overloadMonitor: Pick<OverloadMonitor, "describeLoad">;
 }
 
 const createFailureLog = ({ options, clock, createPartLogger }: RequestPathDependencies): LogFailedRequest =>
@@ -84,7 +86,7 @@
 /** Creates the function that sends requests to gates. Each attempt gets a unique id. */
 const createSender = (
     { options: { nodeId, zone, requests }, bootId, clock, createPartLogger, readiness }: RequestPathDependencies,
-    { pools, gate, picker }: GatewayPathParts,
+    { pools, gate, picker, overloadMonitor }: GatewayPathParts,
 ): SendToGate => {
     let attempts = 0;
     return createSendToGate({
@@ -106,6 +108,7 @@
         logUnresponsiveGate: createUnresponsiveGateLog(clock, createPartLogger("gateway")),
         feedbackMemory: createFeedbackMemory(),
         endsAt: () => readiness.endsAt,
+        describeOwnLoad: overloadMonitor.describeLoad,
     });
 };
 
--- a/packages/oleandergap-node/src/gateway/gateRequestHeaders.ts
+++ b/packages/oleandergap-node/src/gateway/gateRequestHeaders.ts
@@ -21,12 +21,14 @@
     KIND_HEADER,
     OBJECTIVE_HEADER,
     PRIORITY_HEADER,
+    SENDER_BUSY_HEADER,
     SENDER_STOPS_HEADER,
     SENT_SHARE_HEADER,
     SHARED_LOADS_HEADER,
     SUSPECT_HEADER,
 } from "../http/headers.js";
 import { formatSharedLoads } from "../http/sharedLoadsHeader.js";
+import type { OverloadMonitor } from "../overload/overloadMonitor.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { FeedbackMemory } from "./feedbackMemory.js";
 
@@ -39,6 +41,8 @@
     readonly feedbackMemory: FeedbackMemory;
     /** Returns the monotonic time at which this node aborts its remaining requests; undefined unless it stops. */
     readonly endsAt: () => Milliseconds | undefined;
+    /** Returns what this node reports of its load to another node; undefined if nothing is due. */
+    readonly describeOwnLoad: OverloadMonitor["describeLoad"];
 }
 
 /** The request of one attempt. */
@@ -104,6 +108,10 @@
     if (endsAt !== undefined) {
         headers.push(SENDER_STOPS_HEADER, String(Math.floor(endsAt - clock.monotonic())));
     }
+    const ownLoad = dependencies.describeOwnLoad(nodeId);
+    if (ownLoad !== undefined) {
+        headers.push(SENDER_BUSY_HEADER, ownLoad);
+    }
     const knownFeedback = dependencies.feedbackMemory.find(nodeId);
     if (knownFeedback !== undefined) {
         headers.push(FEEDBACK_HEADER, formatFeedback(knownFeedback));
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -55,6 +55,8 @@
     readonly handleGate: HandleArrival;
     /** Handles requests from callers. */
     readonly handleGateway: HandleArrival;
+    /** Returns whether callers should use other nodes; see `CallerDiversion`. */
+    readonly isDivertingCallers: () => boolean;
     /** The requests of callers and of other nodes that are in flight. */
     readonly openRequests: OpenRequestsByPoint;
     /** Returns whether another target of the local target's service accepts requests, or there is no local target. */
