Turn queue: up to three requests of other nodes are started in an iteration once they wait

Cause: a node that is behind started one request of another node in each iteration of its event loop, some 300 iterations a second at 3.3 ms each. An iteration has a cost of its own (a wait for events, a wake-up, timers, the queue), and one start in each was meant for connections that wait to be accepted; other nodes keep theirs open.

Change: while the oldest request of another node has waited for 10 ms, up to three are started.

Test: turnQueue, 'are started several at a time once they have waited' (one before).

--- a/packages/oleandergap-gate/src/customerAdmission.ts
+++ b/packages/oleandergap-gate/src/customerAdmission.ts
@@ -19,7 +19,7 @@
     /** Returns whether a request could start at once. */
     readonly hasFreeSlot: () => boolean;
     readonly decide: (request: RankedRequest) => Decision | Promise<Decision>;
-    readonly describeOverdue: Refusals["describeOverdue"];
+    readonly refusals: Pick<Refusals, "describeOverdue">;
 }
 
 /** Time after the last request of a customer for which a gate serves customers. */
@@ -44,7 +44,7 @@
 
 /** Creates the admission by shares. Requests without a customer are never over a share. */
 export const createCustomerAdmission = (
-    { clock, forecast, capacity, hasFreeSlot, decide, describeOverdue }: CustomerAdmissionDependencies,
+    { clock, forecast, capacity, hasFreeSlot, decide, refusals }: CustomerAdmissionDependencies,
 ): CustomerAdmission => {
     const shares = createCustomerShares();
     const recentDemand = createRecentDemand(clock);
@@ -106,7 +106,7 @@
     return {
         admit,
         refuseOverdue: (request) => {
-            const refusal = describeOverdue();
+            const refusal = refusals.describeOverdue();
             if (!isServingCustomers(clock.monotonic())) {
                 recordDecision(request, request.priority ?? 0, either.left(refusal));
             }
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -177,14 +177,7 @@
     };
 
     return {
-        ...createCustomerAdmission({
-            clock,
-            forecast,
-            decide,
-            capacity: () => capacity,
-            hasFreeSlot,
-            describeOverdue: refusals.describeOverdue,
-        }),
+        ...createCustomerAdmission({ clock, forecast, refusals, decide, capacity: () => capacity, hasFreeSlot }),
         setLimit,
         setRequestLimit: (requestsPerSecond) => {
             requestRate.setLimit(requestsPerSecond);
--- a/packages/oleandergap-node/src/__tests__/truncatedHeads.test.ts
+++ b/packages/oleandergap-node/src/__tests__/truncatedHeads.test.ts
@@ -62,8 +62,9 @@
         const target = await startTruncatingTarget(() => HEAD.length - 1, (socket) => socket.end());
         const gate = await startGate(cleanup.add, { clock });
         gate.targetManager.announce({ ...createAnnouncement(target), connections: 1 });
-        const responses: readonly ReceivedResponse[] = await Promise.all(Array.from({ length: 8 }, (_, index) =>
-            sendHttpRequest({ port: gate.port, headers: createGateHeaders({ "oleandergap-request-id": `a-${index}` }) })));
-        expect(responses.map(({ statusCode }) => statusCode)).to.deep.equal(Array.from({ length: 8 }, () => BAD_GATEWAY));
+        const send = (index: number): Promise<ReceivedResponse> =>
+            sendHttpRequest({ port: gate.port, headers: createGateHeaders({ "oleandergap-request-id": `a-${index}` }) });
+        const responses = await Promise.all(Array.from({ length: 8 }, (_, index) => send(index)));
+        expect(responses.map(({ statusCode }) => statusCode)).to.deep.equal(responses.map(() => BAD_GATEWAY));
     });
 });
--- a/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
+++ b/packages/oleandergap-node/src/__tests__/turnQueue.test.ts
@@ -111,6 +111,17 @@
         expect(started).to.deep.equal(["node overdue", "caller in time"]);
     });
 
+    // Guards against a node that pays for a whole iteration for each request while many wait.
+    it("are started several at a time once they have waited, if they are those of other nodes", async () => {
+        const { queue, started } = await queueCallers(0);
+        Array.from({ length: 5 }).forEach((_, index) => queue.nodes.run(() => started.push(`node ${index}`) > 0));
+        runTurn();
+        expect(started).to.have.length(1);
+        await clock.advance(20);
+        runTurn();
+        expect(started).to.have.length(4);
+    });
+
     // Guards against urgent requests of other nodes that are late because the node is behind with less urgent ones.
     it("are started by their priority if they are those of other nodes", async () => {
         const { queue, started } = await queueCallers(0);
--- a/packages/oleandergap-node/src/http/turnQueue.ts
+++ b/packages/oleandergap-node/src/http/turnQueue.ts
@@ -51,6 +51,15 @@
  */
 const MAX_NODE_TURNS = 3;
 
+/**
+ * Maximum number of requests of other nodes that are started in one iteration while they wait. An iteration has a cost
+ * of its own, and the connections of other nodes are open, so that none of them waits to be accepted.
+ */
+const MAX_NODE_STARTS = 3;
+
+/** Wait of the oldest request of another node from which on several are started in one iteration. */
+const NODES_BEHIND_AFTER_MS: Milliseconds = 10;
+
 /** Wait of the oldest first request from which on the newest one is started first. */
 const BEHIND_AFTER_MS: Milliseconds = 100;
 
@@ -86,7 +95,7 @@
 /** A queue of the requests of callers and of other nodes. */
 export interface TurnQueue {
     readonly callers: TurnLane;
-    /** Requests of other nodes. One is started in each iteration, before one of a caller. */
+    /** Requests of other nodes. One or a few are started in each iteration, before one of a caller. */
     readonly nodes: TurnLane;
     /** Returns the number of queued tasks. */
     readonly size: () => number;
@@ -158,6 +167,14 @@
         }
     };
 
+    const runNodeRequests = (): void => {
+        let starts = 0;
+        do {
+            runNextOf(nodeRequests.takeMostUrgent);
+            starts += 1;
+        } while (starts < MAX_NODE_STARTS && hasWaited(nodeRequests.oldest(), NODES_BEHIND_AFTER_MS));
+    };
+
     /** Refuses requests that waited for too long. */
     const runOverdue = (list: OrderedTasks, longestMs: Milliseconds): void => {
         for (let count = 0; count < MAX_OVERDUE_TASKS && hasWaited(list.oldest(), longestMs); count++) {
@@ -170,7 +187,7 @@
         runOverdue(firstRequests, MAX_WAIT_MS);
         runOverdue(laterRequests, MAX_WAIT_MS);
         runOverdue(nodeRequests, MAX_NODE_WAIT_MS);
-        runNextOf(nodeRequests.takeMostUrgent);
+        runNodeRequests();
         const isWithFirst = !isAccepting();
         if (!isForNodes()) {
             runNextOf(() => takeCallerRequest(isWithFirst));
--- a/packages/oleandergap-node/src/overload/callerDiversion.ts
+++ b/packages/oleandergap-node/src/overload/callerDiversion.ts
@@ -2,8 +2,8 @@
  * Decides whether callers of this node should use other nodes.
  *
  * Each request to a target passes the node beside it, but any node can serve a caller. When a service has few targets
- * left, the requests of the whole fleet for it take all CPU time of a node. If that node serves its own callers as well,
- * it refuses requests for its target while the slots of the target are free and other nodes have CPU time to spare.
+ * left, the requests of the whole fleet for it take all CPU time of a node. If that node also serves its own callers,
+ * it refuses requests for its target while slots of the target are free and other nodes have CPU time to spare.
  */
 import type { Clock, Milliseconds } from "oleandergap-types";
 
