Gate: nodes are asked to send a tenth more than is served, instead of a quarter

Cause: a gate that refuses asks for a quarter more than it serves, so that no slot is idle. Where the processor is short, not the slots, each surplus request takes time from one that could be served.

--- a/packages/oleandergap-gate/src/recentDemand.ts
+++ b/packages/oleandergap-gate/src/recentDemand.ts
@@ -17,8 +17,11 @@
 const NEGLIGIBLE_REQUESTS = 0.01;
 /** Part of the arriving requests that may be refused before nodes are asked to send less. */
 const TOLERATED_REFUSED_PART = 0.05;
-/** Requests that nodes may send for each one that is served. The surplus keeps the slots in use. */
-const SENT_PER_SERVED = 1.25;
+/**
+ * Requests that nodes may send for each one that is served. The surplus keeps the slots in use; a refusal here costs
+ * nearly as much CPU time as a request that is served.
+ */
+const SENT_PER_SERVED = 1.1;
 /**
  * Time without a refusal for capacity after which the share grows. An overloaded target refuses more often, because
  * nodes send it more than it serves.
