Gate: a request that was refused for having waited reports that wait, so that nodes prefer other targets

With several targets, one beside a node without processor time refused within 100 ms and reported free slots: nodes take such a refusal for no lack of capacity, and the target for idle and quick, so that it attracts more.

Cause: the load in a response is the slots of the target; the wait that matters here is that of the node.

Change: the load of such a refusal names the time for which the request waited as the expected wait, which nodes already take for a full target.

--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -139,6 +139,8 @@
 interface ReceivedParts {
     readonly head?: Pick<GateRequestHead, "kind" | "priority">;
     readonly body?: RequestBody;
+    /** Time for which the request waited to be started, if it was refused for that. */
+    readonly waitedMs?: Milliseconds;
 }
 
 /** How a request arrived. */
@@ -197,9 +199,16 @@
 export const createGateHandler = (dependencies: GateHandlerDependencies) => {
     const { clock, serve, loadExchange, maxBodyBytes: maxBytes } = dependencies;
 
+    /** Returns the load, with at least the wait of a request that waited to be started. */
+    const readLoad = (head: ReceivedParts["head"], waitedMs: Milliseconds): GateLoad | undefined => {
+        const load = dependencies.load(head?.kind);
+        return load && { ...load, expectedWaitMs: Math.max(load.expectedWaitMs, waitedMs) };
+    };
+
     const createGateHeaders = (
         requestId: string | undefined,
-        head?: Pick<GateRequestHead, "kind" | "priority">,
+        head?: ReceivedParts["head"],
+        waitedMs: Milliseconds = 0,
     ): Record<string, string> => {
         const headers: Record<string, string> = {};
         if (requestId !== undefined) {
@@ -209,7 +218,7 @@
         if (admissionShare !== undefined) {
             headers[ADMISSION_SHARE_HEADER] = admissionShare;
         }
-        const load = dependencies.load(head?.kind);
+        const load = readLoad(head, waitedMs);
         if (load !== undefined) {
             headers[LOAD_HEADER] = formatLoad(load);
             const pace = formatPace(load);
@@ -244,12 +253,12 @@
         response: ServerResponse,
         failure: RequestFailure,
         requestId: string | undefined,
-        { head, body }: ReceivedParts = {},
+        { head, body, waitedMs }: ReceivedParts = {},
     ): void =>
         writeFailure(
             response,
             describeFailure(failure, { statusCode: selectStatusCode(failure) }),
-            createGateHeaders(requestId, head),
+            createGateHeaders(requestId, head, waitedMs),
             discardRestOfRequest(response.req, body, { clock, maxBytes }),
         );
 
@@ -275,11 +284,13 @@
         });
     };
 
-    const refuseOverdue = (request: IncomingMessage, response: ServerResponse): void => {
+    /** The load of the response tells nodes that the target has no room, although its slots may be free. */
+    const refuseOverdue = (request: IncomingMessage, response: ServerResponse, receivedAt: Milliseconds): void => {
         const overdue = readOverdueRequest(request);
         const failure = dependencies.refuseOverdue(overdue);
         dependencies.countRequest({ kind: "Failed", failure }, 0);
-        refuse(response, failure, readRequestHeader(request, REQUEST_ID_HEADER), { head: overdue });
+        const waitedMs = clock.monotonic() - receivedAt;
+        refuse(response, failure, readRequestHeader(request, REQUEST_ID_HEADER), { head: overdue, waitedMs });
     };
 
     const handle = async (
@@ -289,7 +300,7 @@
     ): Promise<void> => {
         dependencies.recordSenderLoad(readRequestHeader(request, SENDER_BUSY_HEADER));
         if (isOverdue) {
-            refuseOverdue(request, response);
+            refuseOverdue(request, response, receivedAt);
             return;
         }
         const lagMs = dependencies.recentLag();
