Revert "Gate: a request that was refused for having waited reports that wait, so that nodes prefer other targets"

Conclusion: reverted. That a node without processor time attracts requests because it refuses them early stays suspected, not shown.

--- a/packages/oleandergap-node/src/gate/gateHandler.ts
+++ b/packages/oleandergap-node/src/gate/gateHandler.ts
@@ -139,8 +139,6 @@
 interface ReceivedParts {
     readonly head?: Pick<GateRequestHead, "kind" | "priority">;
     readonly body?: RequestBody;
-    /** Time for which the request waited to be started, if it was refused for that. */
-    readonly waitedMs?: Milliseconds;
 }
 
 /** How a request arrived. */
@@ -199,16 +197,9 @@
 export const createGateHandler = (dependencies: GateHandlerDependencies) => {
     const { clock, serve, loadExchange, maxBodyBytes: maxBytes } = dependencies;
 
-    /** Returns the load, with at least the wait of a request that waited to be started. */
-    const readLoad = (head: ReceivedParts["head"], waitedMs: Milliseconds): GateLoad | undefined => {
-        const load = dependencies.load(head?.kind);
-        return load && { ...load, expectedWaitMs: Math.max(load.expectedWaitMs, waitedMs) };
-    };
-
     const createGateHeaders = (
         requestId: string | undefined,
-        head?: ReceivedParts["head"],
-        waitedMs: Milliseconds = 0,
+        head?: Pick<GateRequestHead, "kind" | "priority">,
     ): Record<string, string> => {
         const headers: Record<string, string> = {};
         if (requestId !== undefined) {
@@ -218,7 +209,7 @@
         if (admissionShare !== undefined) {
             headers[ADMISSION_SHARE_HEADER] = admissionShare;
         }
-        const load = readLoad(head, waitedMs);
+        const load = dependencies.load(head?.kind);
         if (load !== undefined) {
             headers[LOAD_HEADER] = formatLoad(load);
             const pace = formatPace(load);
@@ -253,12 +244,12 @@
         response: ServerResponse,
         failure: RequestFailure,
         requestId: string | undefined,
-        { head, body, waitedMs }: ReceivedParts = {},
+        { head, body }: ReceivedParts = {},
     ): void =>
         writeFailure(
             response,
             describeFailure(failure, { statusCode: selectStatusCode(failure) }),
-            createGateHeaders(requestId, head, waitedMs),
+            createGateHeaders(requestId, head),
             discardRestOfRequest(response.req, body, { clock, maxBytes }),
         );
 
@@ -284,13 +275,11 @@
         });
     };
 
-    /** The load of the response tells nodes that the target has no room, although its slots may be free. */
-    const refuseOverdue = (request: IncomingMessage, response: ServerResponse, receivedAt: Milliseconds): void => {
+    const refuseOverdue = (request: IncomingMessage, response: ServerResponse): void => {
         const overdue = readOverdueRequest(request);
         const failure = dependencies.refuseOverdue(overdue);
         dependencies.countRequest({ kind: "Failed", failure }, 0);
-        const waitedMs = clock.monotonic() - receivedAt;
-        refuse(response, failure, readRequestHeader(request, REQUEST_ID_HEADER), { head: overdue, waitedMs });
+        refuse(response, failure, readRequestHeader(request, REQUEST_ID_HEADER), { head: overdue });
     };
 
     const handle = async (
@@ -300,7 +289,7 @@
     ): Promise<void> => {
         dependencies.recordSenderLoad(readRequestHeader(request, SENDER_BUSY_HEADER));
         if (isOverdue) {
-            refuseOverdue(request, response, receivedAt);
+            refuseOverdue(request, response);
             return;
         }
         const lagMs = dependencies.recentLag();
