Test: a refused request whose body is unread does not hold up the next one of its connection

Change: a test only: a POST of 200 kB that is overdue, and a GET behind it on the same connection. Result: 429 and 200, the target gets one request.

--- a/packages/oleandergap-node/src/__tests__/queuedRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/queuedRequests.test.ts
@@ -3,11 +3,12 @@
 import type { ListenerOptions } from "../http/listener.js";
 import type { TurnTask } from "../http/taskList.js";
 import { createMember, HOST, startGateway } from "./gatewaySupport.js";
-import { sendHttpRequest, createAnnouncement, createCleanup, createGateHeaders, startGate, startTarget, waitUntil } from "./support.js";
+import { callRaw, sendHttpRequest, createAnnouncement, createCleanup, createGateHeaders, startGate, startTarget, waitUntil } from "./support.js";
 
 const TIMEOUT_MS = 1000;
 /** Time that a request spends in the queue of the node. */
 const WAIT_MS = 300;
+const BODY_BYTES = 200_000;
 
 /*
  * Guards against requests without a final response half a second after their route's timeout. Many requests arrive at
@@ -90,6 +91,31 @@
         expect(receiver.timeouts).to.have.length(0);
     });
 
+    // Guards against a request that is never answered because the body of a refused one before it was not read.
+    it("does not hold up the next request of its connection if it is refused with its body unread", async () => {
+        const receiver = await startReceiver();
+        const gate = await startGate(cleanup.add, { clock, turns });
+        gate.targetManager.announce(createAnnouncement(receiver.port));
+        const formatHead = (method: string, headers: Readonly<Record<string, string>>): string => [
+            `${method} / HTTP/1.1`,
+            ...Object.entries(createGateHeaders(headers)).map(([name, value]) => `${name}: ${value}`),
+            "\r\n",
+        ].join("\r\n");
+        const body = "x".repeat(BODY_BYTES);
+        const received = callRaw(gate.port, [
+            formatHead("POST", { "content-length": String(BODY_BYTES) }),
+            body,
+            formatHead("GET", { "oleandergap-request-id": "attempt-2", connection: "close" }),
+        ].join(""));
+        await waitUntil(() => queuedTasks.length === 1);
+        queuedTasks.shift()?.(true);
+        await waitUntil(() => queuedTasks.length === 1);
+        queuedTasks.shift()?.(false);
+        const statusLines = (await received).match(/HTTP\/1\.1 \d+/g);
+        expect(statusLines).to.deep.equal(["HTTP/1.1 429", "HTTP/1.1 200"]);
+        expect(receiver.timeouts).to.have.length(1);
+    });
+
     // Guards against callers that get no response from a node that is behind.
     it("is refused unsent at the gateway if it waited for too long", async () => {
         const receiver = await startReceiver();
