--- a/packages/oleandergap-node/src/http/urgencyList.ts
+++ b/packages/oleandergap-node/src/http/urgencyList.ts
@@ -14,7 +14,7 @@
 
 /** Creates an empty list. */
 export const createUrgencyList = (): UrgencyList => {
-    /** One list for each priority that was ever used; the most urgent first. */
+    /** One list for each priority, the most urgent first. */
     const listsByPriority: TaskList[] = Array.from({ length: MAX_PRIORITIES }, createTaskList);
     let size = 0;
 
