Transport: a response without a body by its status that declares one is refused

What callers saw: a target's 204 that declares five bytes, or chunks, was delivered as a complete empty response; the next hop, or a caller on Node.js, waits for what was declared.

Cause: the framing followed the status before the declared length.

Change: malformed, so that the request ends with 502, as for every ambiguous framing. HEAD and 304, whose declared length describes another response, and a length of 0 are as before.

Test: 'refuses a body that is declared for a status that has none, as Node.js does' (failed before).

--- a/packages/oleandergap-transport/src/responseHead.ts
+++ b/packages/oleandergap-transport/src/responseHead.ts
@@ -138,6 +138,9 @@
             throw new MalformedResponseError(`unknown transfer encoding "${joinValues(encoding).slice(0, 40)}"`);
         }
     }
+    if (statusCode === NO_CONTENT && method !== "HEAD" && (encoding !== undefined || (length ?? 0) > 0)) {
+        throw new MalformedResponseError("a body is declared for a status that has none");
+    }
     if (method === "HEAD" || statusCode < FIRST_FINAL_STATUS || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED) {
         return { kind: "None" };
     }
