--- a/packages/oleandergap-gate/src/recentDemand.ts
+++ b/packages/oleandergap-gate/src/recentDemand.ts
@@ -18,8 +18,8 @@
 /** Part of the arriving requests that may be refused before nodes are asked to send less. */
 const TOLERATED_REFUSED_PART = 0.05;
 /**
- * Requests that nodes may send for each one that is served. The surplus keeps the slots in use; a refusal here costs
- * nearly as much CPU time as a request that is served.
+ * Requests that nodes may send for each one that is served. The surplus keeps the slots in use, and its refusals
+ * take CPU time of the node.
  */
 const SENT_PER_SERVED = 1.1;
 /**
