--- a/packages/oleandergap-measure/src/control/nodeCost.ts
+++ b/packages/oleandergap-measure/src/control/nodeCost.ts
@@ -9,6 +9,7 @@
 import type { Fleet } from "oleandergap-demo";
 import { createCaller } from "oleandergap-standins";
 import type { ExperimentContext, ExperimentResult, Figures } from "../experiment.js";
+import { readNodeUsage } from "../nodeUsage.js";
 import { runMeasuredLoad } from "../requests/measuredLoad.js";
 import { createMeasuredRead, createServicePlan } from "../requests/serviceFleet.js";
 import { withFleet } from "../withFleet.js";
@@ -24,7 +25,7 @@
 
 /** Returns the mean CPU time of the nodes since their start. */
 const readMeanCpuTime = async (fleet: Fleet): Promise<Milliseconds> => {
-    const nodes = (await fleet.usage()).filter(({ name }) => name.startsWith("node "));
+    const nodes = await readNodeUsage(fleet);
     return nodes.reduce((sum, { cpuMs }) => sum + cpuMs, 0) / Math.max(1, nodes.length);
 };
 
--- a/packages/oleandergap-measure/src/control/nodeReadings.ts
+++ b/packages/oleandergap-measure/src/control/nodeReadings.ts
@@ -1,6 +1,7 @@
 /** Reads applied versions and resource usage of all nodes of a fleet. */
 import { readMetricSamples, sumMetric, type Fleet, type FleetNode } from "oleandergap-demo";
 import { MILLISECONDS_PER_SECOND, type Milliseconds, type PartnerName, type Sequence } from "oleandergap-types";
+import { readNodeUsage } from "../nodeUsage.js";
 
 /** Version of a partner's document that a node uses. */
 export interface AppliedVersion {
@@ -55,7 +56,7 @@
     const running = fleet.nodes.filter((node) => node.isRunning());
     const peerBytes = sum(await Promise.all(running.map(readPeerBytes)));
     const counters = await fleet.platform.counters();
-    const usage = (await fleet.usage()).filter(({ name }) => name.startsWith("node "));
+    const usage = await readNodeUsage(fleet);
     return {
         takenAt: now(),
         peerBytes,
--- a/packages/oleandergap-measure/src/cost/addRequestCostCommand.ts
+++ b/packages/oleandergap-measure/src/cost/addRequestCostCommand.ts
@@ -1,9 +1,10 @@
 /** The command `npm run measure -- request-cost`, which compares the CPU time of a request with two builds. */
 import { resolve } from "node:path";
-import { InvalidArgumentError, type Command } from "commander";
+import type { Command } from "commander";
 import { createSystemClock } from "oleandergap-utils";
+import { createIntegerParser } from "../integerParser.js";
 import { compareRequestCosts, type CostRound } from "./compareRequestCosts.js";
-import { measureRequestCost, type RequestCost } from "./measureRequestCost.js";
+import { measureRequestCost, type CostContext, type RequestCost } from "./measureRequestCost.js";
 
 const DEFAULT_ROUNDS = 3;
 const MAX_ROUNDS = 50;
@@ -14,14 +15,6 @@
     readonly rounds: number;
 }
 
-const parseRounds = (text: string): number => {
-    const rounds = Number(text);
-    if (!Number.isInteger(rounds) || rounds < 1 || rounds > MAX_ROUNDS) {
-        throw new InvalidArgumentError(`use an integer from 1 to ${MAX_ROUNDS}`);
-    }
-    return rounds;
-};
-
 const report = (line: string): void => {
     process.stderr.write(`${line}\n`);
 };
@@ -29,18 +22,21 @@
 const formatCost = (name: string, { entryMs, gateMs, answeredShare }: RequestCost): string =>
     `${name.padEnd(10)} entry ${entryMs.toFixed(3)} ms, gate ${gateMs.toFixed(3)} ms a request, answered ${answeredShare.toFixed(3)}`;
 
+const measureRound = async (context: CostContext, baseline: string, isBaselineFirst: boolean): Promise<CostRound> => {
+    if (isBaselineFirst) {
+        const cost = await measureRequestCost(context, baseline);
+        return { baseline: cost, candidate: await measureRequestCost(context) };
+    }
+    const candidate = await measureRequestCost(context);
+    return { baseline: await measureRequestCost(context, baseline), candidate };
+};
+
 /** Measures the builds in turn, and in each second round in the other order. */
 const measureRounds = async (baseline: string, rounds: number, signal: AbortSignal): Promise<readonly CostRound[]> => {
     const measured: CostRound[] = [];
     for (let round = 1; round <= rounds; round++) {
-        const context = { nodes: 0, seed: round, clock: createSystemClock(), signal, report: () => undefined };
-        const measureBaseline = (): Promise<RequestCost> => measureRequestCost(context, baseline);
-        const measureCandidate = (): Promise<RequestCost> => measureRequestCost(context, undefined);
-        const first = await (round % 2 === 1 ? measureBaseline : measureCandidate)();
-        const second = await (round % 2 === 1 ? measureCandidate : measureBaseline)();
-        const costs = round % 2 === 1 ?
-            { baseline: first, candidate: second } :
-            { baseline: second, candidate: first };
+        const context = { seed: round, clock: createSystemClock(), signal, report: () => undefined };
+        const costs = await measureRound(context, baseline, round % 2 === 1);
         report(`round ${round}: ${formatCost("baseline", costs.baseline)}`);
         report(`round ${round}: ${formatCost("this build", costs.candidate)}`);
         measured.push(costs);
@@ -54,7 +50,7 @@
         .command("request-cost")
         .description("compares the CPU time of a request with this build and with that of another checkout")
         .requiredOption("--baseline <folder>", "checkout whose build is compared with this one; it must be built")
-        .option("--rounds <count>", "number of measurements of each build", parseRounds, DEFAULT_ROUNDS)
+        .option("--rounds <count>", "number of measurements of each build", createIntegerParser(1, MAX_ROUNDS), DEFAULT_ROUNDS)
         .action(async ({ baseline, rounds }: RequestCostOptions) => {
             const abortController = new AbortController();
             process.once("SIGINT", () => abortController.abort(new Error("interrupted")));
--- a/packages/oleandergap-measure/src/cost/measureRequestCost.ts
+++ b/packages/oleandergap-measure/src/cost/measureRequestCost.ts
@@ -8,6 +8,7 @@
 import type { ExperimentContext } from "../experiment.js";
 import { runMeasuredLoad } from "../requests/measuredLoad.js";
 import { createMeasuredRead, measuredService } from "../requests/serviceFleet.js";
+import { readNodeUsage } from "../nodeUsage.js";
 import { withFleet } from "../withFleet.js";
 
 const NODES = 8;
@@ -22,6 +23,9 @@
 const WARM_UP_MS: Milliseconds = 6000;
 const LOAD_MS: Milliseconds = 10_000;
 
+/** Input of a measurement, whose fleet has a fixed size. */
+export type CostContext = Omit<ExperimentContext, "nodes">;
+
 /** CPU time per request in milliseconds, without what the nodes use at rest. */
 export interface RequestCost {
     /** At the node at which the request enters. */
@@ -58,7 +62,7 @@
 };
 
 const readCpu = async (fleet: Fleet, targetNode: NodeId): Promise<CpuReading> => {
-    const usage = (await fleet.usage()).filter(({ name }) => name.startsWith("node "));
+    const usage = await readNodeUsage(fleet);
     const sum = (isWanted: (name: string) => boolean): Milliseconds =>
         usage.filter(({ name }) => isWanted(name)).reduce((total, { cpuMs }) => total + cpuMs, 0);
     return {
@@ -73,7 +77,7 @@
 });
 
 /** Measures on a fleet of its own, with the daemon of a checkout; by default that of this one. */
-export const measureRequestCost = (context: ExperimentContext, daemon: string | undefined): Promise<RequestCost> =>
+export const measureRequestCost = (context: CostContext, daemon?: string): Promise<RequestCost> =>
     withFleet(createPlan(), context, async (fleet) => {
         const { clock, signal } = context;
         const targetNode = findTargetNode(fleet);
--- a/packages/oleandergap-measure/src/main.ts
+++ b/packages/oleandergap-measure/src/main.ts
@@ -1,9 +1,10 @@
 #!/usr/bin/env node
 /** Runs one experiment: `npm run measure -- <experiment> [--nodes N] [--seed S]`. */
-import { Command, InvalidArgumentError } from "commander";
+import { Command } from "commander";
 import { createSystemClock } from "oleandergap-utils";
 import { formatResult, type Experiment } from "./experiment.js";
 import { experiments } from "./experiments.js";
+import { createIntegerParser } from "./integerParser.js";
 import { addRequestCostCommand } from "./cost/addRequestCostCommand.js";
 import { addProfileCommand } from "./profile/addProfileCommand.js";
 import { addRolloutsCommand } from "./rollouts/addRolloutsCommand.js";
@@ -17,14 +18,6 @@
     readonly seed: number;
 }
 
-const createIntegerParser = (minimum: number, maximum: number) => (text: string): number => {
-    const value = Number(text);
-    if (!Number.isInteger(value) || value < minimum || value > maximum) {
-        throw new InvalidArgumentError(`use an integer from ${minimum} to ${maximum}`);
-    }
-    return value;
-};
-
 const report = (line: string): void => {
     process.stderr.write(`${line}\n`);
 };
--- a/packages/oleandergap-measure/src/requests/overhead.ts
+++ b/packages/oleandergap-measure/src/requests/overhead.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "oleandergap-types";
 import type { ExperimentContext, ExperimentResult, Figures } from "../experiment.js";
 import { createDurationRecorder, type DurationRecorder } from "../durationRecorder.js";
+import { readNodeUsage } from "../nodeUsage.js";
 import { withFleet } from "../withFleet.js";
 import { runMeasuredLoad } from "./measuredLoad.js";
 import { createMeasuredRead, createServicePlan, listMeasuredTargets } from "./serviceFleet.js";
@@ -44,9 +45,7 @@
 });
 
 const readNodeCpuTime = async (fleet: Fleet): Promise<Milliseconds> =>
-    (await fleet.usage())
-        .filter(({ name }) => name.startsWith("node "))
-        .reduce((sum, { cpuMs }) => sum + cpuMs, 0);
+    (await readNodeUsage(fleet)).reduce((sum, { cpuMs }) => sum + cpuMs, 0);
 
 const warmUp = async (context: ExperimentContext, path: RequestPath): Promise<void> => {
     await runMeasuredLoad(context, {
--- a/packages/oleandergap-measure/src/rollouts/addRolloutsCommand.ts
+++ b/packages/oleandergap-measure/src/rollouts/addRolloutsCommand.ts
@@ -1,6 +1,7 @@
 /** The command `npm run measure -- rollouts`, which judges simulated roll-outs in virtual time. */
 import { InvalidArgumentError, type Command } from "commander";
 import { createSequentialJudge, type CreateJudge } from "oleandergap-rollout";
+import { createIntegerParser } from "../integerParser.js";
 import { measureRollouts, type RolloutFigures } from "./measureRollouts.js";
 import { rolloutCases } from "./rolloutCases.js";
 import { createThresholdJudge } from "./thresholdJudge.js";
@@ -18,14 +19,6 @@
     readonly judge: string;
 }
 
-const parseSeeds = (text: string): number => {
-    const seeds = Number(text);
-    if (!Number.isInteger(seeds) || seeds < 1 || seeds > MAX_SEEDS) {
-        throw new InvalidArgumentError(`use an integer from 1 to ${MAX_SEEDS}`);
-    }
-    return seeds;
-};
-
 const parseJudge = (name: string): string => {
     if (!judges.has(name)) {
         throw new InvalidArgumentError(`use one of ${[...judges.keys()].join(", ")}`);
@@ -48,7 +41,7 @@
     program
         .command("rollouts")
         .description("plays simulated roll-outs of good and bad versions, and how a judge ends them")
-        .option("--seeds <count>", "number of seeds for each sort of roll-out", parseSeeds, DEFAULT_SEEDS)
+        .option("--seeds <count>", "number of seeds for each sort of roll-out", createIntegerParser(1, MAX_SEEDS), DEFAULT_SEEDS)
         .option("--judge <name>", "sequential, or threshold for the naive one", parseJudge, "sequential")
         .action(async ({ seeds, judge }: RolloutsOptions) => {
             const all: RolloutFigures[] = [];
--- a/packages/oleandergap-measure/src/withFleet.ts
+++ b/packages/oleandergap-measure/src/withFleet.ts
@@ -11,7 +11,7 @@
  */
 export const withFleet = async <Result>(
     plan: FleetPlan,
-    { clock, signal, report }: ExperimentContext,
+    { clock, signal, report }: Omit<ExperimentContext, "nodes">,
     run: (fleet: Fleet) => Promise<Result>,
     { daemon }: Pick<FleetOptions, "daemon"> = {},
 ): Promise<Result> => {
--- a/packages/oleandergap-node/src/http/turnQueue.ts
+++ b/packages/oleandergap-node/src/http/turnQueue.ts
@@ -68,7 +68,7 @@
 
 /**
  * Wait after which a request of another node is refused. Calls of targets expire within a few hundred milliseconds, and
- * requests that are given up while they wait cost most of what served ones cost.
+ * a request that is given up while it waits also costs its connection.
  */
 const MAX_NODE_WAIT_MS: Milliseconds = 100;
 
--- a/packages/oleandergap-node/src/listeners.ts
+++ b/packages/oleandergap-node/src/listeners.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Clock } from "oleandergap-types";
 import type { ListenerDefinition } from "./adapters.js";
-import { readGatePriority } from "./gate/gatePriority.js";
+import { readGatePriority } from "./gate/gateRequestHead.js";
 import { createArrivalTally } from "./http/arrivalTally.js";
 import { startListener, type HandleArrival, type HandleRequest, type Listener, type ListenError } from "./http/listener.js";
 import { createRefusedConnectionLog } from "./http/refusedConnectionLog.js";
--- a/packages/oleandergap-node/src/overload/peerLoad.ts
+++ b/packages/oleandergap-node/src/overload/peerLoad.ts
@@ -8,7 +8,7 @@
 const TIME_CONSTANT_MS: Milliseconds = 1000;
 /** Number of reports, after their decay, below which the mean is unknown. */
 const MIN_REPORTS = 0.5;
-/** Maximum number of nodes whose latest report is known. The one that got its report first is evicted. */
+/** Maximum number of nodes whose latest report is known. The one whose report is oldest is evicted. */
 const MAX_NODES = 1024;
 
 export interface PeerLoad {
@@ -48,11 +48,12 @@
             if (now - (reportedAt.get(nodeId) ?? Number.NEGATIVE_INFINITY) < REPORT_INTERVAL_MS) {
                 return false;
             }
+            reportedAt.delete(nodeId);
+            reportedAt.set(nodeId, now);
             const [oldest] = reportedAt.keys();
-            if (reportedAt.size >= MAX_NODES && oldest !== undefined) {
+            if (reportedAt.size > MAX_NODES && oldest !== undefined) {
                 reportedAt.delete(oldest);
             }
-            reportedAt.set(nodeId, now);
             return true;
         },
     };
