Gate: a request that was admitted before its target left is checked again before its first byte

Callers saw: nothing but the answer of a target that had said that it leaves; the target got requests later than it may. Cause: the gate decides at admission. After that a request may wait for the event loop, for the claim of its key (up to its deadline), for a connection, or for a second send after a silence, and a timer alone ended the starts of waiting requests, which is late in a process that stood still. Nothing looked at the target again. For a version or a node that stops, the check was repeated after the event loop had caught up, but not after the claim. Change: the gate says until when requests may start (`mayStart`, by time alone). The pool asks immediately before it hands a request to a connection, which covers every wait before it; the claimed run asks once more for target, version and node. A request that is withheld is refused with Draining, unrun, at once. Not shown: that the users' record is this. On their platform there are no keys, connections open within 250 ms, and there is no second send.

--- a/packages/oleandergap-gate/src/__tests__/gate.test.ts
+++ b/packages/oleandergap-gate/src/__tests__/gate.test.ts
@@ -162,6 +162,22 @@
         expect(shares).to.deep.equal([2, 2]);
     });
 
+    // After this process stood still, the timer that refuses the waiting requests fires late.
+    it("starts no waiting request once the time for that has passed, before they are refused", async () => {
+        const harness = createGateHarness(1);
+        const running = await harness.submit();
+        const waiting = await harness.submit();
+        void harness.gate.drain(100);
+        expect(harness.gate.mayStart()).to.equal(true);
+        await harness.clock.advance(100);
+        await harness.release(running);
+        expect(harness.gate.mayStart()).to.equal(false);
+        expect(waiting.state).to.equal("waiting");
+        harness.gate.refuseWaiting();
+        await harness.clock.advance(0);
+        expect(waiting).to.include({ state: "refused", reason: "Draining" });
+    });
+
     it("refuses new requests while draining, and resolves after running and waiting requests have finished", async () => {
         const harness = createGateHarness(1);
         await harness.submit();
--- a/packages/oleandergap-gate/src/admission.ts
+++ b/packages/oleandergap-gate/src/admission.ts
@@ -121,8 +121,15 @@
     /**
      * Refuses new requests from now on, while running and waiting requests finish. Resolves when no request is left.
      * Further calls return the same promise.
+     *
+     * @param startsForMs time from now after which no request starts any more; by default, they start without a limit
      */
-    readonly drain: () => Promise<void>;
+    readonly drain: (startsForMs?: Milliseconds) => Promise<void>;
+    /**
+     * Returns whether requests may be handed to the target. Must be called immediately before the first byte of an
+     * admitted request, because the drain may have started while the request waited for something else.
+     */
+    readonly mayStart: () => boolean;
     /**
      * Refuses all waiting requests because the target is about to stop. An immediate refusal leaves a request time to
      * run at another target; a request left in the queue would be sent to a target that has already announced its
--- a/packages/oleandergap-gate/src/gate.ts
+++ b/packages/oleandergap-gate/src/gate.ts
@@ -95,7 +95,7 @@
     const lateRequests = createLateRequests({ forecast, offeredLoad, state: getState, marginPart: options.marginPart });
     const rankedQueue = createRankedQueue({ queue, lateRequests, refusals, fairShare: options.fairShare });
 
-    const drain = createDrain(() => slots.running() === 0 && queue.size() === 0);
+    const drain = createDrain(clock, () => slots.running() === 0 && queue.size() === 0);
 
     const startRequest = createRequestStarter({ clock, queue, forecast, rankedQueue, slots, refusals });
 
@@ -112,7 +112,7 @@
     });
 
     const queueStarter = createQueueStarter({
-        clock, queue, slots, requestRate, urgentReserve, startRequest, queueLimit: () => queueLimit,
+        clock, queue, slots, requestRate, urgentReserve, startRequest, queueLimit: () => queueLimit, drain,
     });
 
     const enqueue = createEnqueue({
@@ -188,6 +188,10 @@
         countRecentRequests: requestRate.countRecent,
         recordResend: requestRate.recordRequest,
         drain: drain.start,
-        refuseWaiting: () => refuseAllWaiting("Draining"),
+        mayStart: drain.mayStart,
+        refuseWaiting: () => {
+            drain.endStarts();
+            refuseAllWaiting("Draining");
+        },
     };
 };
--- a/packages/oleandergap-gate/src/queueStarter.ts
+++ b/packages/oleandergap-gate/src/queueStarter.ts
@@ -1,5 +1,6 @@
 /** Starts waiting requests while slots are free, the request limit allows it and no slot is kept back. */
 import type { Clock } from "oleandergap-types";
+import type { Drain } from "./drain.js";
 import type { FairQueue } from "./fairQueue.js";
 import { getFlowPriority } from "./rankedQueue.js";
 import type { RequestRate } from "./requestRate.js";
@@ -16,6 +17,7 @@
     /** Maximum number of waiting requests. May change while the gate runs. */
     readonly queueLimit: () => number;
     readonly startRequest: (waitingRequest: WaitingRequest) => void;
+    readonly drain: Pick<Drain, "mayStart">;
 }
 
 export interface QueueStarter {
@@ -27,14 +29,14 @@
 
 /** Creates the starter of a queue. */
 export const createQueueStarter = (dependencies: QueueStarterDependencies): QueueStarter => {
-    const { clock, queue, slots, requestRate, urgentReserve, queueLimit, startRequest } = dependencies;
+    const { clock, queue, slots, requestRate, urgentReserve, queueLimit, startRequest, drain } = dependencies;
 
     // Without a queue, a request that had to wait would be refused although there is room.
     const isSlotAvailable = (request: ReservedRequest): boolean =>
         queueLimit() === 0 || urgentReserve.mayStart(request);
 
     const startWaiting = (): void => {
-        while (slots.canAcquire()) {
+        while (drain.mayStart() && slots.canAcquire()) {
             const next = queue.peek(clock.monotonic());
             if (next === undefined) {
                 return;
--- a/packages/oleandergap-node/src/gate/serveAtGate.ts
+++ b/packages/oleandergap-node/src/gate/serveAtGate.ts
@@ -12,7 +12,7 @@
 import type { GateRequest, ServeAtGate } from "./gateRequest.js";
 import type { RolloutObserver } from "./rolloutObserver.js";
 import type { ObserveRun } from "./runObserver.js";
-import { createTargetExchange, type TargetExchangeDependencies } from "./targetExchange.js";
+import { createTargetExchange, leavingRefusal, type TargetExchangeDependencies } from "./targetExchange.js";
 
 export interface ServeAtGateDependencies extends TargetExchangeDependencies {
     readonly currentTarget: () => LocalTarget | undefined;
@@ -90,16 +90,24 @@
             outcome;
     };
 
-    const createTargetRun = (target: LocalTarget): ServeAtGate => {
-        const run: ServeAtGate = (request) => sendToTarget(target, request);
-        return createClaimedRun(dependencies, dependencies.observeRun?.(target, run) ?? run);
-    };
-
     const findRefusal = (target: LocalTarget, request: GateRequest): RequestFailure | undefined =>
         stopAdmission?.canFinish(request, request.senderEndsAt) === false ?
             stopTooSoonRefusal :
             rolloutObserver?.findRefusal(target);
 
+    /** Returns the refusal of a request that was admitted and has waited since. */
+    const findLateRefusal = (target: LocalTarget, request: GateRequest): RequestFailure | undefined =>
+        target.gate.mayStart() ? findRefusal(target, request) : leavingRefusal;
+
+    const createTargetRun = (target: LocalTarget): ServeAtGate => {
+        const run: ServeAtGate = async (request) => {
+            // The request may have waited for its claim.
+            const refusal = findLateRefusal(target, request);
+            return refusal === undefined ? sendToTarget(target, request) : either.left(refusal);
+        };
+        return createClaimedRun(dependencies, dependencies.observeRun?.(target, run) ?? run);
+    };
+
     return async (request) => {
         const target = dependencies.currentTarget();
         if (target === undefined || !isTargetOfService(target, request.service)) {
@@ -134,8 +142,8 @@
                 return either.left(cancelledRefusal);
             }
         }
-        // The version, or the node, may have been stopped while the request waited.
-        const lateRefusal = findRefusal(target, request);
+        // The target, its version or the node may have been stopped while the request waited.
+        const lateRefusal = findLateRefusal(target, request);
         if (lateRefusal !== undefined) {
             admission.right.release("NotStarted");
             return either.left(lateRefusal);
--- a/packages/oleandergap-node/src/gate/targetExchange.ts
+++ b/packages/oleandergap-node/src/gate/targetExchange.ts
@@ -45,6 +45,20 @@
     return either.left(refusal);
 };
 
+/** Refusal of a request whose target has started to leave while the request waited to be sent. */
+export const leavingRefusal: RequestFailure = {
+    kind: "Refused",
+    verdict: "notRun",
+    reason: "Draining",
+    retryAfterMs: 0,
+};
+
+/** Converts the failure of a request that was withheld from its target to a refusal. */
+const convertWithheld = ({ gate }: LocalTarget, outcome: Outcome): Outcome =>
+    either.isLeft(outcome) && outcome.left.kind === "ConnectFailed" && !gate.mayStart() ?
+        either.left(leavingRefusal) :
+        outcome;
+
 /** Creates the exchange with the targets of one node. */
 export const createTargetExchange = (dependencies: TargetExchangeDependencies): TargetExchange => {
     const { clock, pools, dialect } = dependencies;
@@ -88,6 +102,7 @@
             method: request.method,
             path: request.path,
             body: request.body,
+            mayStart: target.gate.mayStart,
             requireId: false,
             awaitAdmission: false,
             bodySilenceMs: dependencies.bodySilenceMs,
@@ -116,7 +131,7 @@
             ],
         });
         // There is no other target to retry at, so the attempt that is still in flight is awaited.
-        const outcome = await (monitored.open?.outcome ?? monitored.outcome);
+        const outcome = convertWithheld(target, await (monitored.open?.outcome ?? monitored.outcome));
         if (either.isRight(outcome)) {
             latencyMeter.add(clock.monotonic() - startedAt);
             recordFeedback(target, outcome.right, startedAt);
--- a/packages/oleandergap-node/src/http/exchange.ts
+++ b/packages/oleandergap-node/src/http/exchange.ts
@@ -23,6 +23,8 @@
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
     readonly body: RequestBody;
+    /** Returns whether the request may still be sent; see `OutgoingRequest`. */
+    readonly mayStart?: (() => boolean) | undefined;
     /** Name of the response header that identifies the request, in lower case. */
     readonly responseIdHeader: string;
     /** Expected value of that header; a response with another id is rejected. Undefined when any value is accepted. */
@@ -147,6 +149,7 @@
             path: request.path,
             headers: request.headers,
             body: feed.body,
+            ...request.mayStart === undefined ? {} : { mayStart: request.mayStart },
             ...request.bodyLimits,
         }, receiver);
     }
--- a/packages/oleandergap-node/src/http/monitoredExchange.ts
+++ b/packages/oleandergap-node/src/http/monitoredExchange.ts
@@ -28,6 +28,8 @@
     readonly path: string;
     readonly body: RequestBody;
     /** See `ExchangeRequest`. */
+    readonly mayStart?: () => boolean;
+    /** See `ExchangeRequest`. */
     readonly requireId: boolean;
     readonly awaitAdmission: boolean;
     /** Maximum time between two chunks of the response body. */
@@ -202,6 +204,7 @@
         path: request.path,
         headers: request.createHeaders(requestId),
         body: request.body,
+        mayStart: request.mayStart,
         responseIdHeader: request.responseIdHeader,
         responseId: request.getResponseId(requestId),
         requireId: request.requireId,
--- a/packages/oleandergap-node/src/target/localTarget.ts
+++ b/packages/oleandergap-node/src/target/localTarget.ts
@@ -111,7 +111,7 @@
  * are aborted.
  */
 export const closeGate = ({ clock, leavingQueueMs }: LocalTargetDependencies, gate: Gate): void => {
-    void gate.drain();
+    void gate.drain(leavingQueueMs);
     clock.after(leavingQueueMs, gate.refuseWaiting);
 };
 
--- a/packages/oleandergap-transport/src/__tests__/httpPool.test.ts
+++ b/packages/oleandergap-transport/src/__tests__/httpPool.test.ts
@@ -113,6 +113,37 @@
         expect(target.sockets).to.have.lengthOf(2);
     });
 
+    it("sends nothing of a request that may no longer be sent when its connection is open", async () => {
+        const target = await startScriptedTarget(cleanup.add, (socket) => socket.write(OK));
+        const pool = createPool(cleanup.add, target.port);
+        let mayStart = true;
+        const withheld = send(pool, { path: "/withheld", mayStart: () => mayStart });
+        mayStart = false;
+        await waitUntil(() => hasEnded(withheld));
+        expect(withheld.events).to.deep.equal(["error"]);
+        expect(await receive(pool)).to.deep.equal(OK_EVENTS);
+        expect(target.sockets).to.have.lengthOf(1);
+    });
+
+    it("sends nothing of a request that may no longer be sent when another one has ended", async () => {
+        const target = await startScriptedTarget(cleanup.add, (socket, request) => {
+            if (!request.includes("/slow")) {
+                socket.write(OK);
+            }
+        });
+        const pool = createPool(cleanup.add, target.port, 1);
+        let mayStart = true;
+        const slow = send(pool, { path: "/slow" });
+        const withheld = send(pool, { path: "/withheld", mayStart: () => mayStart });
+        const next = send(pool);
+        await waitUntil(() => slow.events.includes("sent"));
+        mayStart = false;
+        slow.control.abort();
+        await waitUntil(() => hasEnded(next));
+        expect(withheld.events).to.deep.equal(["error"]);
+        expect(next.events).to.deep.equal(OK_EVENTS);
+    });
+
     it("reports a refused connection without having sent the request", async () => {
         const [port = 0] = await reservePorts(1);
         expect(await receive(createPool(cleanup.add, port))).to.deep.equal(["error"]);
--- a/packages/oleandergap-transport/src/httpPool.ts
+++ b/packages/oleandergap-transport/src/httpPool.ts
@@ -6,7 +6,13 @@
 import type { Connect } from "./connector.js";
 import { createHttpConnection } from "./httpConnection.js";
 import { createIdleConnections, type KeptConnection } from "./idleConnections.js";
-import type { OutgoingRequest, RequestControl, RequestTransport, ResponseReceiver } from "./requestTransport.js";
+import {
+    WithheldError,
+    type OutgoingRequest,
+    type RequestControl,
+    type RequestTransport,
+    type ResponseReceiver,
+} from "./requestTransport.js";
 import { formatRequestHead } from "./requestWriter.js";
 
 export interface HttpPoolOptions {
@@ -62,6 +68,16 @@
     }
 };
 
+/** Returns whether a request may be sent. Fails it if its sender no longer allows it. */
+const checkStart = (request: PoolRequest): boolean => {
+    if (request.isAborted || request.outgoing.mayStart?.() !== false) {
+        return !request.isAborted;
+    }
+    request.receiver.onError(new WithheldError("the request may no longer be sent"));
+    request.isAborted = true;
+    return false;
+};
+
 /** The requests that wait for a connection. */
 interface WaitingRequests {
     readonly add: (request: PoolRequest) => void;
@@ -69,6 +85,8 @@
     readonly take: () => PoolRequest | undefined;
     readonly isEmpty: () => boolean;
     readonly takeAll: () => readonly PoolRequest[];
+    /** Fails the requests that may no longer be sent. */
+    readonly withhold: () => void;
 }
 
 const createWaitingRequests = (): WaitingRequests => {
@@ -86,6 +104,9 @@
             }
         },
         isEmpty: () => requests.every(({ isAborted }) => isAborted),
+        withhold: () => {
+            requests = requests.filter(checkStart);
+        },
         takeAll: () => {
             const all = requests;
             requests = [];
@@ -94,6 +115,18 @@
     };
 };
 
+const startOn = (entry: PoolConnection, request: PoolRequest): void => {
+    entry.isBusy = true;
+    request.control = entry.connection.start(request.outgoing, request.head, request.receiver);
+};
+
+/** Removes and returns the request for which a connection was opened. */
+const takeFirst = (entry: PoolConnection): PoolRequest | undefined => {
+    const request = entry.first;
+    entry.first = undefined;
+    return request;
+};
+
 /** Creates the pool. Connections are opened when they are needed. */
 export const createHttpPool = ({ clock, connect, address, port, idleMs }: HttpPoolOptions): HttpPool => {
     /** All connections that are open or being opened, except replaced ones. */
@@ -104,20 +137,14 @@
     let connectionLimit = 1;
     let isPumpScheduled = false;
 
-    const startOn = (entry: PoolConnection, request: PoolRequest): void => {
-        entry.isBusy = true;
-        request.control = entry.connection.start(request.outgoing, request.head, request.receiver);
-    };
-
     const markIdle = (entry: PoolConnection): void => {
         entry.isBusy = false;
         idle.add(entry);
     };
 
     const handleOpen = (entry: PoolConnection): void => {
-        const request = entry.first;
-        entry.first = undefined;
-        if (request !== undefined && !request.isAborted) {
+        const request = takeFirst(entry);
+        if (request !== undefined && checkStart(request)) {
             startOn(entry, request);
         }
         else if (replaced.has(entry)) {
@@ -133,8 +160,7 @@
         current.delete(entry);
         replaced.delete(entry);
         idle.remove(entry);
-        const request = entry.first;
-        entry.first = undefined;
+        const request = takeFirst(entry);
         if (request !== undefined) {
             failUnlessAborted(request, error ?? new Error("the connection was closed"));
         }
@@ -164,6 +190,7 @@
 
     /** Gives waiting requests connections, as far as there are any. */
     const pump = (): void => {
+        waiting.withhold();
         for (;;) {
             const entry = waiting.isEmpty() ? undefined : idle.take();
             if (entry === undefined && current.size >= connectionLimit) {
@@ -218,7 +245,10 @@
             old.forEach(({ connection }) => connection.retire());
             schedulePump();
         },
-        sweep: idle.sweep,
+        sweep: () => {
+            waiting.withhold();
+            idle.sweep();
+        },
         isUnused: () => waiting.isEmpty() && ![...current, ...replaced].some(({ isBusy }) => isBusy),
         destroy: () => {
             const error = new Error("the node closes its connections");
--- a/packages/oleandergap-transport/src/index.ts
+++ b/packages/oleandergap-transport/src/index.ts
@@ -9,5 +9,6 @@
     ResponseReceiver,
     StreamedBody,
 } from "./requestTransport.js";
+export { WithheldError } from "./requestTransport.js";
 export { createConnector, type Connect, type ConnectorOptions } from "./connector.js";
 export { createHttpPool, type HttpPool, type HttpPoolOptions } from "./httpPool.js";
--- a/packages/oleandergap-transport/src/requestTransport.ts
+++ b/packages/oleandergap-transport/src/requestTransport.ts
@@ -27,6 +27,16 @@
     /** Alternating names and values, without hop-by-hop headers and without `content-length`. */
     readonly headers: readonly string[];
     readonly body: OutgoingBody;
+    /**
+     * Returns whether the request may still be sent. Called immediately before its first byte; if it returns false, the
+     * request fails with a `WithheldError`. By default, the request is sent.
+     */
+    readonly mayStart?: () => boolean;
+}
+
+/** The request was not sent, because its sender no longer allowed it when there was a connection. */
+export class WithheldError extends Error {
+    public readonly code = "WITHHELD";
 }
 
 /**
