Departures: an acknowledged departure of a target outlasts its node's process

Callers saw: requests of all nodes went to a target that had said that it leaves, and that its node had acknowledged. Cause: the acknowledgement was kept in the memory of the process that gave it. After a restart a heartbeat that the target had sent before, and that was delayed, opened a new gate. A stopping node answered 200 and did not even keep the departure in memory. Change: a departure (draining, deregistration, statement in a response) is written to the platform's table and to up to six other nodes before it is acknowledged; 503 if neither has it. A node that starts reads both before it accepts a target; the table is read and written again until it responds. An earlier lifetime that has left replaces no other target. A gate that is being stopped records departures too. Without start time and sequence number a target that comes back with its id cannot be told from a late heartbeat; such a departure is not stored, as before. Cost: one write for each departure, one read and a few datagrams for each start. Moved: the target and its gate from localTargetManager.ts to targetHolder.ts, the datagrams of components to messageTransports.ts.

--- a/packages/oleandergap-membership/src/messageTransport.ts
+++ b/packages/oleandergap-membership/src/messageTransport.ts
@@ -39,7 +39,7 @@
     /** Sender that is named in outgoing messages. */
     readonly self: Pick<Member, "id" | "zone">;
     /**
-     * First byte of the component's datagrams, from 0xc0 to 0xc4. Membership datagrams are MessagePack arrays, which
+     * First byte of the component's datagrams, from 0xc0 to 0xc6. Membership datagrams are MessagePack arrays, which
      * never start with one of these bytes.
      */
     readonly markerByte: number;
--- /dev/null
+++ b/packages/oleandergap-node/src/__tests__/departureLog.test.ts
@@ -0,0 +1,160 @@
+import { expect } from "chai";
+import { createLogger } from "oleandergap-logger";
+import type { Contact, ReceiveMessage } from "oleandergap-membership";
+import { createMemoryTableService, noFault, type MemoryTableService } from "oleandergap-platform";
+import type { Milliseconds } from "oleandergap-types";
+import { createManualClock, type ManualClock } from "oleandergap-utils";
+import { RETENTION_MS, type Departure } from "../departures/departure.js";
+import { createDepartureLog, type DepartureLog } from "../departures/departureLog.js";
+import type { DepartureMessage } from "../departures/departureMessages.js";
+import { createDepartureReplicas } from "../departures/departureReplicas.js";
+import { createDepartureTable } from "../departures/departureTable.js";
+
+/** Longer than any call to a storage may take. */
+const LONG_MS: Milliseconds = 5000;
+const NODE_IDS = ["a", "b", "c"] as const;
+type TestNodeId = typeof NODE_IDS[number];
+
+/** Nodes of one zone that exchange datagrams, with one table. */
+interface TestFleet {
+    readonly clock: ManualClock;
+    readonly tableService: MemoryTableService;
+    isTableDown: boolean;
+    /** Nodes that receive nothing. */
+    readonly unreachable: Set<TestNodeId>;
+    /** Number of the next datagrams that are lost. */
+    lostDatagrams: number;
+    /** Starts a node, or starts it again without its memory. */
+    readonly start: (id: TestNodeId) => DepartureLog;
+}
+
+const toContact = (id: TestNodeId): Contact => ({ id, zone: "hall-a", address: id, controlPort: 1 });
+
+const createTestFleet = (): TestFleet => {
+    const clock = createManualClock();
+    const listeners = new Map<string, ReceiveMessage<DepartureMessage>>();
+    const unreachable = new Set<TestNodeId>();
+    const tableService = createMemoryTableService({
+        decideFault: () => fleet.isTableDown ? { kind: "Outage" } : noFault,
+    });
+
+    const send = (from: TestNodeId, to: string, message: DepartureMessage): void => {
+        if (fleet.lostDatagrams > 0) {
+            fleet.lostDatagrams -= 1;
+            return;
+        }
+        if (!unreachable.has(from) && NODE_IDS.some((id) => id === to && !unreachable.has(id))) {
+            listeners.get(to)?.(toContact(from), message);
+        }
+    };
+
+    const start = (nodeId: TestNodeId): DepartureLog => createDepartureLog({
+        table: createDepartureTable({ tableService, nodeId, clock }),
+        replicas: createDepartureReplicas({
+            nodeId,
+            clock,
+            network: { members: () => NODE_IDS.filter((id) => id !== nodeId).map(toContact), contacts: () => [] },
+            transport: {
+                send: (to, message) => send(nodeId, to.address, message),
+                onMessage: (listener) => listeners.set(nodeId, listener),
+            },
+        }),
+        clock,
+        logger: createLogger("test"),
+        signal: new AbortController().signal,
+    });
+
+    const fleet: TestFleet = { clock, tableService, isTableDown: false, unreachable, lostDatagrams: 0, start };
+    NODE_IDS.forEach(start);
+    return fleet;
+};
+
+/** Resolves with the result of `work` while the clock advances. */
+const runFor = async <Result>(clock: ManualClock, duration: Milliseconds, work: Promise<Result>): Promise<Result> => {
+    await clock.advance(duration);
+    return work;
+};
+
+describe("createDepartureLog", () => {
+    const lifetime = { instanceId: "i-1", bornAt: 5 };
+
+    /** Returns the ids that a restarted node finds. */
+    const restart = async ({ clock, start }: TestFleet, id: TestNodeId): Promise<readonly string[]> => {
+        const found: Departure[] = [];
+        await runFor(clock, LONG_MS, start(id).restore((departures) => found.push(...departures)));
+        return [...new Set(found.map(({ instanceId }) => instanceId))];
+    };
+
+    it("finds a departure in the table after a restart of all nodes", async () => {
+        const fleet = createTestFleet();
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime))).to.equal(true);
+        NODE_IDS.forEach(fleet.start);
+        expect(await restart(fleet, "a")).to.deep.equal(["i-1"]);
+        expect(await restart(fleet, "b")).to.deep.equal([]);
+    });
+
+    it("finds a departure at other nodes while the table does not respond, although datagrams are lost", async () => {
+        const fleet = createTestFleet();
+        fleet.isTableDown = true;
+        fleet.lostDatagrams = 3;
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime))).to.equal(true);
+        fleet.lostDatagrams = 3;
+        expect(await restart(fleet, "a")).to.deep.equal(["i-1"]);
+    });
+
+    it("writes a departure to the table once it responds again", async () => {
+        const fleet = createTestFleet();
+        fleet.isTableDown = true;
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime))).to.equal(true);
+        fleet.isTableDown = false;
+        await fleet.clock.advance(LONG_MS);
+        NODE_IDS.forEach(fleet.start);
+        expect(await restart(fleet, "a")).to.deep.equal(["i-1"]);
+    });
+
+    it("passes on a departure that the table holds when the table responds again", async () => {
+        const fleet = createTestFleet();
+        await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime));
+        NODE_IDS.forEach(fleet.start);
+        fleet.isTableDown = true;
+        const found: Departure[] = [];
+        await runFor(fleet.clock, LONG_MS, fleet.start("a").restore((departures) => found.push(...departures)));
+        expect(found).to.have.length(0);
+        fleet.isTableDown = false;
+        await fleet.clock.advance(LONG_MS);
+        expect(found).to.have.length(1);
+    });
+
+    it("does not confirm a departure that only this process holds, and tries again at the next announcement", async () => {
+        const fleet = createTestFleet();
+        const log = fleet.start("a");
+        fleet.isTableDown = true;
+        fleet.unreachable.add("a");
+        expect(await runFor(fleet.clock, LONG_MS, log.record(lifetime))).to.equal(false);
+        fleet.isTableDown = false;
+        expect(await runFor(fleet.clock, LONG_MS, log.record(lifetime))).to.equal(true);
+    });
+
+    it("resolves although no storage responds", async () => {
+        const fleet = createTestFleet();
+        fleet.isTableDown = true;
+        fleet.unreachable.add("a");
+        expect(await restart(fleet, "a")).to.deep.equal([]);
+    });
+
+    it("stores a departure once, and none without an instance id", async () => {
+        const fleet = createTestFleet();
+        const log = fleet.start("a");
+        await runFor(fleet.clock, LONG_MS, Promise.all([log.record(lifetime), log.record(lifetime), log.record({})]));
+        expect(fleet.tableService.state.scan({ prefix: "departures/", limit: 10 })).to.have.length(1);
+    });
+
+    it("deletes departures that are too old to matter", async () => {
+        const fleet = createTestFleet();
+        await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime));
+        NODE_IDS.forEach(fleet.start);
+        await fleet.clock.advance(RETENTION_MS);
+        expect(await restart(fleet, "a")).to.deep.equal([]);
+        expect(fleet.tableService.state.scan({ prefix: "departures/", limit: 10 })).to.have.length(0);
+    });
+});
--- a/packages/oleandergap-node/src/__tests__/localTargetManager.test.ts
+++ b/packages/oleandergap-node/src/__tests__/localTargetManager.test.ts
@@ -3,7 +3,11 @@
 import { createLogger } from "oleandergap-logger";
 import type { Announcement, Limit, MemberTarget } from "oleandergap-types";
 import { createManualClock, type ManualClock } from "oleandergap-utils";
-import { createLocalTargetManager, type LocalTargetManager } from "../target/localTargetManager.js";
+import {
+    createLocalTargetManager,
+    type LocalTargetManager,
+    type LocalTargetManagerDependencies,
+} from "../target/localTargetManager.js";
 import { createAnnouncement, TEST_LIMIT } from "./support.js";
 
 const HEARTBEAT_TIMEOUT_MS = 3000;
@@ -18,7 +22,7 @@
     readonly setLimit: (limit: Limit | undefined) => void;
 }
 
-const setUp = (): Setup => {
+const setUp = (departures?: LocalTargetManagerDependencies["departures"]): Setup => {
     const clock = createManualClock();
     const published: (MemberTarget | undefined)[] = [];
     let limit: Limit | undefined = TEST_LIMIT;
@@ -31,6 +35,7 @@
         heartbeatTimeoutMs: HEARTBEAT_TIMEOUT_MS,
         leavingQueueMs: 1000,
         slowStartMs: 10_000,
+        ...departures === undefined ? {} : { departures },
     });
     return {
         clock,
@@ -265,3 +270,65 @@
         expect(targetManager.current()?.announcement.port).to.equal(TARGET_PORT);
     });
 });
+
+describe("createLocalTargetManager, with departures that outlast the process", () => {
+    const announcement = createAnnouncement(TARGET_PORT, { instanceId: "i-1", bornAt: 5, sequence: 7 });
+
+    const setUpStored = (): Setup & { readonly recorded: (string | undefined)[] } => {
+        const recorded: (string | undefined)[] = [];
+        const setup = setUp({
+            record: ({ instanceId }) => {
+                recorded.push(instanceId);
+                return Promise.resolve(false);
+            },
+        });
+        return { ...setup, recorded };
+    };
+
+    it("accepts a target only once the departures from before the start are known", () => {
+        const { targetManager } = setUpStored();
+        targetManager.announce(announcement);
+        expect(targetManager.current()).to.equal(undefined);
+        targetManager.acceptTargets();
+        expect(targetManager.current()?.leaving).to.equal(false);
+    });
+
+    it("closes a target whose departure is found late", () => {
+        const { targetManager } = setUpStored();
+        targetManager.acceptTargets();
+        targetManager.announce(announcement);
+        targetManager.restoreDepartures([{ instanceId: "i-1", bornAt: 5 }]);
+        expect(targetManager.current()?.leaving).to.equal(true);
+    });
+
+    it("replaces no target by an earlier one that has left", () => {
+        const { targetManager } = setUpStored();
+        targetManager.restoreDepartures([{ instanceId: "i-1", bornAt: 5 }]);
+        targetManager.acceptTargets();
+        targetManager.announce({ ...announcement, instanceId: "i-2" });
+        targetManager.announce(announcement);
+        expect(targetManager.current()?.announcement.instanceId).to.equal("i-2");
+        expect(targetManager.current()?.leaving).to.equal(false);
+    });
+
+    it("stores a departure that is announced while its node stops", async () => {
+        const { targetManager, recorded } = setUpStored();
+        targetManager.acceptTargets();
+        targetManager.announce(announcement);
+        expect(await targetManager.confirm(announcement)).to.equal(true);
+        void targetManager.stop();
+        targetManager.announce({ ...announcement, leaving: true, sequence: 8 });
+        expect(recorded).to.include("i-1");
+        expect(await targetManager.confirm(announcement)).to.equal(false);
+    });
+
+    it("stores a departure by withdrawal with the start time that the target has announced", async () => {
+        const { targetManager } = setUpStored();
+        targetManager.acceptTargets();
+        targetManager.announce(announcement);
+        targetManager.withdraw("i-1");
+        expect(await targetManager.confirm({ instanceId: "i-1" })).to.equal(false);
+        targetManager.announce({ ...announcement, bornAt: 6, sequence: 1 });
+        expect(targetManager.current()?.leaving).to.equal(false);
+    });
+});
--- a/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
+++ b/packages/oleandergap-node/src/__tests__/staleRequests.test.ts
@@ -88,6 +88,7 @@
             quota: createUnlimitedQuota(clock),
             view: () => view,
             publishTarget: () => undefined,
+            departures: { record: () => Promise.resolve(true) },
             directory: { targetsOf: () => targets },
             tableService: createMemoryTableService(),
             bootId: "boot",
--- a/packages/oleandergap-node/src/admin/adminHandler.ts
+++ b/packages/oleandergap-node/src/admin/adminHandler.ts
@@ -44,7 +44,8 @@
             return;
         }
         target.announce(announcement.right);
-        sendJson(response, 200, describeTarget());
+        const isConfirmed = await target.confirm(announcement.right);
+        sendJson(response, isConfirmed ? 200 : 503, describeTarget());
     };
 
     const describeTarget = (): unknown => {
--- a/packages/oleandergap-node/src/createControlPlane.ts
+++ b/packages/oleandergap-node/src/createControlPlane.ts
@@ -4,8 +4,8 @@
     type ConfigurationSource,
     type ConfigurationStore,
 } from "oleandergap-configuration";
-import { quotaMessageSchema, type FleetQuota, type QuotaMessage } from "oleandergap-customers";
-import { evidenceMessageSchema, type Containment, type EvidenceMessage } from "oleandergap-containment";
+import type { FleetQuota, QuotaMessage } from "oleandergap-customers";
+import type { Containment, EvidenceMessage } from "oleandergap-containment";
 import {
     createPeerClient,
     createSpread,
@@ -17,10 +17,9 @@
 } from "oleandergap-distribution";
 import * as either from "fp-ts/lib/Either.js";
 import type { Logger } from "oleandergap-logger";
-import { rolloutMessageSchema, type LocalTargetState, type RolloutMessage, type Rollouts } from "oleandergap-rollout";
+import type { LocalTargetState, RolloutMessage, Rollouts } from "oleandergap-rollout";
 import {
     createMembership,
-    createMessageTransport,
     createTargetDirectory,
     createUdpTransport,
     type Contact,
@@ -39,8 +38,11 @@
 import type { Random } from "oleandergap-utils";
 import type { PeerAccess } from "./control/peerAccess.js";
 import { createNodeContainment, createNodeRollouts, createPeerNetwork } from "./control/peerExchange.js";
+import { createMessageTransports } from "./control/messageTransports.js";
+import { createNodeDepartures } from "./control/nodeDepartures.js";
 import { createNodeQuota } from "./control/nodeQuota.js";
 import { createZoneFetcher } from "./control/zoneFetcher.js";
+import type { DepartureLog } from "./departures/departureLog.js";
 import { listServingZones } from "./gateway/targetLookup.js";
 import type { NodeOptions } from "./options.js";
 
@@ -77,14 +79,10 @@
     readonly rolloutTransport: MessageTransport<RolloutMessage>;
     readonly quota: FleetQuota;
     readonly quotaTransport: MessageTransport<QuotaMessage>;
+    /** The departures of the local target. */
+    readonly departures: DepartureLog;
 }
 
-/** First byte of datagrams with crash evidence. */
-const EVIDENCE_MARK = 0xc0;
-/** First byte of datagrams about roll-outs. */
-const ROLLOUT_MARK = 0xc2;
-/** First byte of datagrams about quotas. */
-const QUOTA_MARK = 0xc4;
 /** Number of deltas that are stored per partner, for peers that lack recent versions. */
 const DELTA_HISTORY = 256;
 
@@ -107,29 +105,13 @@
         logger: createPartLogger("configuration"),
         deltaHistory: DELTA_HISTORY,
     });
-    const evidenceTransport = createMessageTransport({
-        transport: peerAccess.seal(createUdpTransport({
-            address: listen.address,
-            port: listen.controlPort,
-            logger: createPartLogger("membership"),
-        })),
-        self,
-        markerByte: EVIDENCE_MARK,
-        schema: evidenceMessageSchema,
-    });
-    const rolloutTransport = createMessageTransport({
-        transport: evidenceTransport.remainingTransport,
-        self,
-        markerByte: ROLLOUT_MARK,
-        schema: rolloutMessageSchema,
-    });
-    const quotaTransport = createMessageTransport({
-        transport: rolloutTransport.remainingTransport,
-        self,
-        markerByte: QUOTA_MARK,
-        schema: quotaMessageSchema,
-    });
-    const spreadTransport = createSpreadTransport({ transport: quotaTransport.remainingTransport, self });
+    const transports = createMessageTransports(peerAccess.seal(createUdpTransport({
+        address: listen.address,
+        port: listen.controlPort,
+        logger: createPartLogger("membership"),
+    })), self);
+    const { evidenceTransport, rolloutTransport, quotaTransport, departureTransport } = transports;
+    const spreadTransport = createSpreadTransport({ transport: transports.remainingTransport, self });
     const membership = createMembership({
         self,
         clock: backgroundClock,
@@ -179,6 +161,7 @@
         listTargets: (service) => directory.targetsOf(service, listServiceZones(service)),
     }, peerNetwork, rolloutTransport);
     const quota = createNodeQuota({ ...dependencies, self, membership, store, transport: quotaTransport });
+    const departures = createNodeDepartures(dependencies, peerNetwork, departureTransport);
     // Contacts are searched for in all zones that the tables contain, whether or not a zone has a seed node.
     store.subscribe(() => {
         membership.addZones([...store.getTables().values()].flatMap((table) => [...table.zones]));
@@ -211,5 +194,6 @@
         rolloutTransport,
         quota,
         quotaTransport,
+        departures,
     };
 };
--- a/packages/oleandergap-node/src/createNode.ts
+++ b/packages/oleandergap-node/src/createNode.ts
@@ -121,6 +121,7 @@
         containment: controlPlane.containment,
         rollouts: controlPlane.rollouts,
         quota: controlPlane.quota,
+        departures: controlPlane.departures,
         view: store.getTables,
         directory,
         publishTarget: (target) => {
--- /dev/null
+++ b/packages/oleandergap-node/src/departures/departureLog.ts
@@ -0,0 +1,164 @@
+/**
+ * Keeps the departures of a node's targets outside of its process.
+ *
+ * A node that has acknowledged a departure must not send requests to that target any more, also after a restart. An
+ * announcement that the target sent before its departure may arrive after the restart, and would otherwise make the
+ * target available again.
+ */
+import type { Logger } from "oleandergap-logger";
+import type { Clock, Milliseconds } from "oleandergap-types";
+import { callWithTimeLimit, describeError, raceAbort } from "oleandergap-utils";
+import type { LifetimeReference } from "../target/lifetimes.js";
+import { formatLifetime, type Departure, type DepartureStorage } from "./departure.js";
+
+/** Time limit of a call to a storage. A target that gets no acknowledgement within a second announces itself again. */
+const CALL_TIMEOUT_MS: Milliseconds = 600;
+/** Interval between two attempts to reach a storage. */
+const RETRY_MS: Milliseconds = 1000;
+/** Maximum number of attempts to write a departure to the table. Other nodes hold it for longer. */
+const MAX_WRITES = 300;
+/** Time after which targets are accepted even if no storage has responded. */
+const MAX_RESTORE_MS: Milliseconds = 3000;
+/** Maximum number of departures whose storage is remembered. The oldest one is dropped first. */
+const MAX_RECORDS = 64;
+
+/** Receives departures from before the start of this process; may be called several times, also later. */
+export type OnFound = (departures: readonly Departure[]) => void;
+
+/** The departures of the targets beside a node. */
+export interface DepartureLog {
+    /** Stores a departure, once for each lifetime. Resolves with whether it outlasts this process. */
+    readonly record: (lifetime: LifetimeReference) => Promise<boolean>;
+    /**
+     * Reads the departures from before the start of this process. Resolves when a storage has responded, or after a
+     * time limit.
+     */
+    readonly restore: (onFound: OnFound) => Promise<void>;
+}
+
+export interface DepartureLogDependencies {
+    /** Outlasts all nodes, but may not respond. */
+    readonly table: DepartureStorage;
+    /** Responds also without the platform. */
+    readonly replicas: DepartureStorage;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly signal: AbortSignal;
+}
+
+/** Creates the log of departures. */
+export const createDepartureLog = (
+    { table, replicas, clock, logger, signal }: DepartureLogDependencies,
+): DepartureLog => {
+    const records = new Map<string, Promise<boolean>>();
+
+    const call = async <Result>(
+        { name }: DepartureStorage,
+        run: (callSignal: AbortSignal) => Promise<Result>,
+    ): Promise<Result | undefined> => {
+        try {
+            return await callWithTimeLimit(clock, CALL_TIMEOUT_MS, signal, (callSignal) =>
+                raceAbort<Result | undefined>(run(callSignal), callSignal, () => undefined));
+        }
+        catch (error) {
+            logger.warn("Storing departures failed.", { at: name, detail: describeError(error) });
+            return undefined;
+        }
+    };
+
+    const write = async (storage: DepartureStorage, departure: Departure): Promise<boolean> =>
+        await call(storage, (callSignal) => storage.write(departure, callSignal)) ?? false;
+
+    /** Repeats the write to the table, so that the departure outlasts a restart of all nodes. */
+    const repeatWrite = async (departure: Departure): Promise<void> => {
+        for (let writes = 1; writes < MAX_WRITES && !signal.aborted; writes++) {
+            await clock.sleep(RETRY_MS, signal);
+            if (await write(table, departure)) {
+                logger.info("The table has a departure now.", { instance: departure.instanceId, writes: writes + 1 });
+                return;
+            }
+        }
+    };
+
+    const store = async (departure: Departure): Promise<boolean> => {
+        const startedAt = clock.monotonic();
+        const [isInTable, isAtNodes] = await Promise.all([write(table, departure), write(replicas, departure)]);
+        const context = {
+            instance: departure.instanceId, isInTable, isAtNodes, durationMs: Math.round(clock.monotonic() - startedAt),
+        };
+        if (isInTable || isAtNodes) {
+            logger.info("A departure is stored.", context);
+        }
+        else {
+            logger.warn("A departure is not stored, and is not acknowledged.", context);
+        }
+        if (!isInTable && isAtNodes) {
+            void repeatWrite(departure);
+        }
+        return isInTable || isAtNodes;
+    };
+
+    const remember = (lifetime: LifetimeReference, stored: Promise<boolean>): void => {
+        records.set(formatLifetime(lifetime), stored);
+        const [oldest] = records.keys();
+        if (records.size > MAX_RECORDS && oldest !== undefined) {
+            records.delete(oldest);
+        }
+    };
+
+    const record: DepartureLog["record"] = (lifetime) => {
+        const { instanceId, bornAt } = lifetime;
+        const known = records.get(formatLifetime(lifetime));
+        if (instanceId === undefined || known !== undefined) {
+            return known ?? Promise.resolve(true);
+        }
+        const departure: Departure = {
+            instanceId, ...bornAt === undefined ? {} : { bornAt }, departedAt: Math.floor(clock.now()),
+        };
+        const stored = store(departure).then((isStored) => {
+            if (!isStored) {
+                records.delete(formatLifetime(lifetime));
+            }
+            return isStored;
+        });
+        remember(lifetime, stored);
+        return stored;
+    };
+
+    /** Returns whether the storage has responded. */
+    const read = async (storage: DepartureStorage, onFound: OnFound): Promise<boolean> => {
+        const departures = await call(storage, storage.read);
+        if (departures === undefined || departures.length === 0) {
+            return departures !== undefined;
+        }
+        departures.forEach((departure) => remember(departure, Promise.resolve(true)));
+        logger.info("Departures from before the start were found.", {
+            at: storage.name, instances: departures.map(({ instanceId }) => instanceId).join(" "),
+        });
+        onFound(departures);
+        return true;
+    };
+
+    const repeatRead = async (onFound: OnFound): Promise<void> => {
+        do {
+            await clock.sleep(RETRY_MS, signal);
+        } while (!signal.aborted && !await read(table, onFound));
+    };
+
+    const restore: DepartureLog["restore"] = async (onFound) => {
+        const startedAt = clock.monotonic();
+        while (!signal.aborted) {
+            const [isTableRead, areReplicasRead] = await Promise.all([read(table, onFound), read(replicas, onFound)]);
+            if (!isTableRead && (areReplicasRead || clock.monotonic() - startedAt >= MAX_RESTORE_MS)) {
+                void repeatRead(onFound);
+                return;
+            }
+            if (isTableRead) {
+                return;
+            }
+            await clock.sleep(RETRY_MS, signal);
+        }
+    };
+
+    return { record, restore };
+};
--- /dev/null
+++ b/packages/oleandergap-node/src/departures/departureTable.ts
@@ -0,0 +1,60 @@
+/** Stores the departures of a node in the platform's table, which outlasts all nodes. */
+import { createHash } from "node:crypto";
+import * as either from "fp-ts/lib/Either.js";
+import type { Clock, NodeId, TableOperation, TableRow, TableService } from "oleandergap-types";
+import { departureSchema, formatLifetime, RETENTION_MS, type Departure, type DepartureStorage } from "./departure.js";
+
+/** Maximum number of rows that are read. A VM has a few departures an hour. */
+const MAX_ROWS = 64;
+/** Number of hexadecimal digits of a hash in a key. Ids of targets may be longer than a key of the table. */
+const HASH_DIGITS = 32;
+
+export interface DepartureTableDependencies {
+    readonly tableService: Pick<TableService, "scan" | "transact">;
+    readonly nodeId: NodeId;
+    readonly clock: Pick<Clock, "now">;
+}
+
+const formatPrefix = (nodeId: NodeId): string => `departures/${nodeId}/`;
+
+const formatKey = (nodeId: NodeId, departure: Departure): string =>
+    formatPrefix(nodeId) + createHash("sha256").update(formatLifetime(departure)).digest("hex").slice(0, HASH_DIGITS);
+
+const parseRow = ({ value }: TableRow): readonly Departure[] => {
+    const parsed = departureSchema.safeParse(value);
+    return parsed.success ? [parsed.data] : [];
+};
+
+/** Creates the storage. Each departure has a row of its own, so that no write can undo another one. */
+export const createDepartureTable = ({ tableService, nodeId, clock }: DepartureTableDependencies): DepartureStorage => {
+    const isExpired = (row: TableRow): boolean =>
+        parseRow(row).some(({ departedAt }) => clock.now() - departedAt > RETENTION_MS);
+
+    /** Deletes expired rows. A failed deletion is repeated after the next start. */
+    const deleteExpired = async (rows: readonly TableRow[], signal: AbortSignal): Promise<void> => {
+        const deletions = rows.filter(isExpired).map(({ key, version }): TableOperation =>
+            ({ kind: "Delete", key, condition: { kind: "VersionIs", version } }));
+        if (deletions.length > 0) {
+            await tableService.transact(deletions, signal)();
+        }
+    };
+
+    return {
+        name: "table",
+        write: async (departure, signal) => {
+            const result = await tableService.transact([{
+                kind: "Put", key: formatKey(nodeId, departure), condition: { kind: "Absent" }, value: departure,
+            }], signal)();
+            // If the condition fails, an earlier write of the same departure has taken effect.
+            return either.isRight(result);
+        },
+        read: async (signal) => {
+            const rows = await tableService.scan({ prefix: formatPrefix(nodeId), limit: MAX_ROWS }, signal)();
+            if (either.isLeft(rows)) {
+                return undefined;
+            }
+            await deleteExpired(rows.right, signal);
+            return rows.right.filter((row) => !isExpired(row)).flatMap(parseRow);
+        },
+    };
+};
--- a/packages/oleandergap-node/src/gate/createGatePath.ts
+++ b/packages/oleandergap-node/src/gate/createGatePath.ts
@@ -61,12 +61,13 @@
 
 /** Creates the manager of the local target and of its gate. */
 export const createTarget = (
-    { options, clock, createPartLogger, publishTarget, view }: RequestPathDependencies,
+    { options, clock, createPartLogger, publishTarget, view, departures }: RequestPathDependencies,
     pausedTime: EventLoopLagMonitor["pausedTime"],
 ): LocalTargetManager => createLocalTargetManager({
     clock,
     logger: createPartLogger("target"),
     publish: publishTarget,
+    departures,
     findLimit: (service) => findServiceRow(view(), service)?.limit,
     createGate: (limit, slots) => createGate({ clock, limit, slots, options: options.gate, pausedTime }),
     ...options.target,
--- a/packages/oleandergap-node/src/index.ts
+++ b/packages/oleandergap-node/src/index.ts
@@ -11,4 +11,5 @@
 export { countHeader, readHeaderPair, readRequestHeader } from "./http/headers.js";
 export { formatListenError, type HandleRequest, type ListenError } from "./http/listener.js";
 export { HTTP_STATUS, reasonOfFailure, type FailureResponse, type FailureContext } from "./http/refusal.js";
+export type { LifetimeReference } from "./target/lifetimes.js";
 export type { LocalTargetManager } from "./target/localTargetManager.js";
--- a/packages/oleandergap-node/src/nodeLifecycle.ts
+++ b/packages/oleandergap-node/src/nodeLifecycle.ts
@@ -79,6 +79,12 @@
     }
 };
 
+/** Accepts targets once the departures from before the start are known. */
+const restoreDepartures = async ({ controlPlane, requestPath }: LifecycleDependencies): Promise<void> => {
+    await controlPlane.departures.restore(requestPath.target.restoreDepartures);
+    requestPath.target.acceptTargets();
+};
+
 const sweepRepeatedly = (dependencies: LifecycleDependencies): void => {
     const { backgroundClock, requestPath, signal } = dependencies;
     if (signal.aborted) {
@@ -102,6 +108,7 @@
     const logFailure = (work: string) => (error: unknown): void => {
         logger.error(`${work} failed.`, { detail: String(error) });
     };
+    restoreDepartures(dependencies).catch(logFailure("Restoring departures"));
     recover(dependencies).catch(logFailure("Recovering the configuration"));
     requestPath.claims.start(signal).catch(logFailure("Key ownership"));
     requestPath.claimSweeper.start(signal).catch(logFailure("Deleting expired claims"));
--- a/packages/oleandergap-node/src/requestPathTypes.ts
+++ b/packages/oleandergap-node/src/requestPathTypes.ts
@@ -12,6 +12,7 @@
 import type { ReadinessState } from "./admin/readiness.js";
 import type { Claims } from "./gate/createClaims.js";
 import type { ConnectionPools } from "./http/connectionPools.js";
+import type { DepartureLog } from "./departures/departureLog.js";
 import type { Dialects } from "./http/dialect.js";
 import type { HandleArrival } from "./http/listener.js";
 import type { NodeOptions } from "./options.js";
@@ -38,6 +39,8 @@
     readonly rollouts: Rollouts<Contact>;
     readonly quota: Quota;
     readonly readiness: Readonly<ReadinessState>;
+    /** Stores the departures of the local target. */
+    readonly departures: Pick<DepartureLog, "record">;
     readonly dialects: Dialects;
     /** Service of all callers at the gateway, if all of them run on this VM; undefined otherwise. */
     readonly callerService: ServiceReference | undefined;
--- a/packages/oleandergap-node/src/target/lifetimes.ts
+++ b/packages/oleandergap-node/src/target/lifetimes.ts
@@ -39,6 +39,8 @@
     readonly markLeaving: (reference: LifetimeReference) => void;
     /** Returns whether the lifetime was marked as leaving. Always false without an instance id. */
     readonly isLeaving: (reference: LifetimeReference) => boolean;
+    /** Returns the lifetime with its start time as far as it is known; undefined if it was not marked as leaving. */
+    readonly findLeaving: (reference: LifetimeReference) => LifetimeReference | undefined;
 }
 
 /**
@@ -76,6 +78,11 @@
         }
     };
 
+    const findLeaving: Lifetimes["findLeaving"] = ({ instanceId, bornAt }) => {
+        const lifetime = instanceId === undefined ? undefined : findLifetime(instanceId, bornAt);
+        return lifetime?.isLeaving === true ? { instanceId, bornAt: lifetime.bornAt } : undefined;
+    };
+
     return {
         accept: ({ instanceId, bornAt, sequence }) => {
             if (instanceId === undefined) {
@@ -104,7 +111,7 @@
                 lifetime.isLeaving = true;
             }
         },
-        isLeaving: ({ instanceId, bornAt }) =>
-            instanceId !== undefined && findLifetime(instanceId, bornAt)?.isLeaving === true,
+        isLeaving: (reference) => findLeaving(reference) !== undefined,
+        findLeaving,
     };
 };
--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -6,32 +6,38 @@
  * it.
  */
 import type { Gate } from "oleandergap-gate";
-import type { Announcement, MemberTarget, Milliseconds, ServiceReference } from "oleandergap-types";
+import type { Announcement, Milliseconds, ServiceReference } from "oleandergap-types";
 import { createHeartbeatTimer } from "./heartbeatTimer.js";
-import { createLifetimes } from "./lifetimes.js";
+import type { DepartureLog } from "../departures/departureLog.js";
+import { createLifetimes, type LifetimeReference } from "./lifetimes.js";
 import {
-    applyLimit,
     closeGate,
-    closeLeavingTarget,
-    createLocalTarget,
     describeTarget,
     isSameTarget,
     isTargetOfService,
-    toMemberTarget,
     type LocalTarget,
-    type LocalTargetDependencies,
 } from "./localTarget.js";
+import { createTargetHolder, type TargetHolderDependencies } from "./targetHolder.js";
 
-export interface LocalTargetManagerDependencies extends LocalTargetDependencies {
-    /** Publishes the target to other nodes; undefined if there is none. */
-    readonly publish: (target: MemberTarget | undefined) => void;
+export interface LocalTargetManagerDependencies extends Omit<TargetHolderDependencies, "onDeparture"> {
     /** Time without a heartbeat after which the target is removed. */
     readonly heartbeatTimeoutMs: Milliseconds;
+    /** Departures that outlast this process. If absent, they are forgotten at its end. */
+    readonly departures?: Pick<DepartureLog, "record">;
 }
 
 export interface LocalTargetManager {
     /** Handles an announcement or a heartbeat that repeats it. */
     readonly announce: (announcement: Announcement) => void;
+    /**
+     * Resolves with whether the latest announcement or withdrawal of a lifetime may be acknowledged: false if it
+     * announced a departure that a restart of this node would undo.
+     */
+    readonly confirm: (lifetime: LifetimeReference) => Promise<boolean>;
+    /** Applies departures that were announced before this process started. */
+    readonly restoreDepartures: (lifetimes: readonly LifetimeReference[]) => void;
+    /** Accepts targets from now on. Until then only departures are handled, because earlier ones are not known yet. */
+    readonly acceptTargets: () => void;
     /**
      * Removes the target. If `instanceId` and `bornAt` (Unix time) are given, only if they match the current lifetime.
      */
@@ -65,35 +71,39 @@
 ): boolean =>
     target !== undefined && findLimit(target.announcement) !== undefined && findLimit(announcement) === undefined;
 
+/**
+ * Returns whether a later announcement with the same instance id shows if it comes from the same lifetime. Without
+ * that, a target that restarts with its id could not come back after it has left.
+ */
+const isDistinguishable = ({ bornAt, sequence }: Announcement): boolean =>
+    bornAt !== undefined || sequence !== undefined;
+
 export const createLocalTargetManager = (dependencies: LocalTargetManagerDependencies): LocalTargetManager => {
-    const { clock, logger } = dependencies;
-    let target: LocalTarget | undefined;
+    const { clock, logger, departures } = dependencies;
     let isStopping = false;
-    /** Gate of the last target, if that target disappeared without leaving. */
-    let disappearedGate: Gate | undefined;
+    /** Without stored departures there is nothing to wait for. */
+    let acceptsTargets = departures === undefined;
+    /** The latest announcement that waits until targets are accepted. */
+    let pendingAnnouncement: Announcement | undefined;
     const lifetimes = createLifetimes();
     const heartbeatTimer = createHeartbeatTimer(clock, dependencies.heartbeatTimeoutMs, () => removeTarget());
 
-    const publish = (): void => {
-        dependencies.publish(target && toMemberTarget(target));
+    const confirm: LocalTargetManager["confirm"] = async (reference) => {
+        const departed = lifetimes.findLeaving(reference);
+        return departed === undefined || (await departures?.record(departed) ?? true);
     };
 
-    const startLeaving = (local: LocalTarget): void => {
-        if (!local.leaving) {
-            target = closeLeavingTarget(dependencies, local);
-            publish();
-        }
+    /** Marks a lifetime as leaving and starts to store its departure, which `confirm` awaits. */
+    const recordDeparture = (reference: LifetimeReference): void => {
+        lifetimes.markLeaving(reference);
+        void confirm(reference);
     };
 
+    const holder = createTargetHolder({ ...dependencies, onDeparture: recordDeparture });
+
     const removeTarget = (): void => {
         heartbeatTimer.cancel();
-        if (target !== undefined) {
-            logger.info("The target was removed.", { ...describeTarget(target.announcement) });
-            closeGate(dependencies, target.gate);
-            disappearedGate = target.leaving ? undefined : target.gate;
-            target = undefined;
-            publish();
-        }
+        holder.remove();
     };
 
     const withdraw: LocalTargetManager["withdraw"] = (instanceId, bornAt) => {
@@ -101,74 +111,79 @@
             logger.info("Ignored the withdrawal of a former target lifetime.", { instance: instanceId, bornAt });
             return;
         }
-        if (instanceId === undefined || target?.announcement.instanceId === instanceId) {
+        recordDeparture({ instanceId, bornAt });
+        if (instanceId === undefined || holder.current()?.announcement.instanceId === instanceId) {
             removeTarget();
-            disappearedGate = undefined;
+            holder.forgetRemoved();
         }
     };
 
-    const installTarget = (announcement: Announcement): void => {
-        target = createLocalTarget(dependencies, announcement, disappearedGate, (gate) => {
-            lifetimes.markLeaving(announcement);
-            if (target?.gate === gate) {
-                startLeaving(target);
-            }
-        });
-        applyLimit(dependencies, target);
-        publish();
-        logger.info("A target was announced.", { ...describeTarget(announcement) });
-    };
-
-    const updateTarget = (local: LocalTarget, announcement: Announcement): void => {
-        const isChanged = local.announcement.slots !== announcement.slots ||
-            local.announcement.connections !== announcement.connections;
-        target = { ...local, announcement };
-        if (isChanged) {
-            applyLimit(dependencies, target);
-            publish();
+    const acceptAnnouncement = (announcement: Announcement): void => {
+        const current = holder.current();
+        if (isUnknownServiceReplacement(current, announcement, dependencies.findLimit)) {
+            logger.warn("Ignored an announcement of an unknown service.", { ...describeTarget(announcement) });
+            return;
+        }
+        const isCurrent = current !== undefined && isSameTarget(current.announcement, announcement);
+        const isDeparted = current?.leaving === false && !isCurrent && lifetimes.isLeaving(announcement);
+        if (!lifetimes.accept(announcement) || isDeparted) {
+            return;
+        }
+        heartbeatTimer.restart();
+        if (isCurrent) {
+            holder.update(announcement);
         }
-        if (announcement.leaving) {
-            startLeaving(target);
+        else {
+            holder.install(announcement);
+        }
+        // A target whose heartbeats were missing for some time comes back with the same lifetime.
+        if (announcement.leaving || lifetimes.isLeaving(announcement)) {
+            holder.startLeaving();
         }
     };
 
     const announce = (announcement: Announcement): void => {
-        if (isStopping) {
-            return;
+        if (announcement.leaving && isDistinguishable(announcement)) {
+            recordDeparture(announcement);
         }
-        if (isUnknownServiceReplacement(target, announcement, dependencies.findLimit)) {
-            logger.warn("Ignored an announcement of an unknown service.", { ...describeTarget(announcement) });
-            return;
-        }
-        if (!lifetimes.accept(announcement)) {
+        if (isStopping) {
             return;
         }
-        heartbeatTimer.restart();
-        if (target !== undefined && isSameTarget(target.announcement, announcement)) {
-            updateTarget(target, announcement);
+        if (acceptsTargets || announcement.leaving) {
+            acceptAnnouncement(announcement);
             return;
         }
-        if (target !== undefined) {
-            removeTarget();
-            heartbeatTimer.restart();
+        pendingAnnouncement = announcement;
+    };
+
+    const acceptTargets = (): void => {
+        const announcement = pendingAnnouncement;
+        acceptsTargets = true;
+        pendingAnnouncement = undefined;
+        if (announcement !== undefined) {
+            announce(announcement);
         }
-        installTarget(announcement);
-        // A target whose heartbeats were missing for some time comes back with the same lifetime.
-        if (target !== undefined && (announcement.leaving || lifetimes.isLeaving(announcement))) {
-            startLeaving(target);
+    };
+
+    const restoreDepartures: LocalTargetManager["restoreDepartures"] = (departed) => {
+        departed.forEach(lifetimes.markLeaving);
+        const current = holder.current();
+        if (current !== undefined && lifetimes.isLeaving(current.announcement)) {
+            holder.startLeaving();
         }
     };
 
     const drain = (service: ServiceReference): boolean => {
-        if (target === undefined || !isTargetOfService(target, service)) {
+        const current = holder.current();
+        if (current === undefined || !isTargetOfService(current, service)) {
             return false;
         }
-        startLeaving(target);
+        holder.startLeaving();
         return true;
     };
 
     const removeTargetOfGate = (gate: Gate): void => {
-        if (target?.gate === gate) {
+        if (holder.current()?.gate === gate) {
             removeTarget();
             gate.refuseWaiting();
         }
@@ -176,20 +191,19 @@
 
     return {
         announce,
+        confirm,
+        restoreDepartures,
+        acceptTargets,
         withdraw,
         removeTarget: removeTargetOfGate,
         drain,
-        current: () => target,
-        refreshLimit: () => {
-            if (target !== undefined) {
-                applyLimit(dependencies, target);
-            }
-        },
+        current: holder.current,
+        refreshLimit: holder.refreshLimit,
         stop: async () => {
             isStopping = true;
             heartbeatTimer.cancel();
-            if (target !== undefined) {
-                const { gate } = target;
+            const gate = holder.current()?.gate;
+            if (gate !== undefined) {
                 closeGate(dependencies, gate);
                 await gate.drain();
             }
