Operator drain: an order to drain a target holds until the target is gone, also after a restart of its node

Callers saw: requests at a target that an operator had drained, as soon as its node was restarted. Cause: the same as for departures that a target announces: the order was kept in the memory of the node's process alone. Change: the order is stored like a departure before it is confirmed, and ends, also in storage, when the target is withdrawn, falls silent or is replaced. The latest of table and other nodes counts. Not handled: a late write of an ended order that lands after its end drains the target again at the next restart.

--- a/packages/oleandergap-demo/src/__tests__/fleetRequests.test.ts
+++ b/packages/oleandergap-demo/src/__tests__/fleetRequests.test.ts
@@ -5,6 +5,7 @@
 import { expect } from "chai";
 import { createCaller, type Caller, type CallResult } from "oleandergap-standins";
 import { IDEMPOTENCY_KEY_HEADER, TIMEOUT_HEADER, type NodeId } from "oleandergap-types";
+import { runCommand } from "../fleet/commandLine.js";
 import type { Fleet } from "../fleet/fleet.js";
 import type { TargetsControl } from "../fleet/standInControl.js";
 import { startFleet } from "../fleet/startFleet.js";
@@ -186,6 +187,35 @@
         expect(await exit).to.deep.include({ code: 0 });
     }).timeout(TIME_LIMIT);
 
+    /** Calls the admin port of a node about its target. Returns whether the target is leaving, if there is one. */
+    const callAdmin = async (nodeId: NodeId, method: "GET" | "DELETE"): Promise<boolean | undefined> => {
+        const { address } = fleet.node(nodeId).vm;
+        const response = await fetch(`http://${address}:${fleet.plan.ports.admin}/v1/target`, { method });
+        const { leaving } = await response.json() as { readonly leaving?: boolean };
+        return leaving;
+    };
+
+    // Guards against an order that only the process of the node remembers.
+    it("keeps a target drained by an operator after a kill of its node, until it is withdrawn", async () => {
+        const [remaining, drained = ""] = SERVING_NODES;
+        await runCommand(fleet, { partner: SERVICE.partner, nodeId: drained, commandArguments: ["drain", drained] });
+        await fleet.node(drained).kill();
+        await fleet.node(drained).start();
+        await fleet.waitUntilReady();
+        await waitUntil(fleet, "the target is announced", async () => await callAdmin(drained, "GET") !== undefined);
+        expect(await callAdmin(drained, "GET")).to.equal(true);
+        const results = await Promise.all(fleet.nodes.flatMap(({ vm }) => ["1", "2", "3"].map((turn) =>
+            caller.call(findGateway(fleet, vm.id), createRead(SERVICE, `drained-${vm.id}-${turn}`)))));
+        const resultsText = JSON.stringify(results);
+        expect(results.some((result) => result.kind === "Answered" && result.target === drained), resultsText)
+            .to.equal(false);
+        expect(results.some((result) => result.kind === "Answered" && result.target === remaining), resultsText)
+            .to.equal(true);
+
+        await callAdmin(drained, "DELETE");
+        await waitUntil(fleet, "the target is back", async () => await callAdmin(drained, "GET") === false);
+    }).timeout(TIME_LIMIT);
+
     it("uses the only remaining target when its connections become unresponsive and the other target leaves", async () => {
         // Guards against requests that hang or fail although a target is healthy, and against new requests at a leaving
         // target. All open connections of one target become unresponsive, which looks like a slow target, and at the
--- a/packages/oleandergap-node/src/__tests__/departureLog.test.ts
+++ b/packages/oleandergap-node/src/__tests__/departureLog.test.ts
@@ -4,7 +4,7 @@
 import { createMemoryTableService, noFault, type MemoryTableService } from "oleandergap-platform";
 import type { Milliseconds } from "oleandergap-types";
 import { createManualClock, type ManualClock } from "oleandergap-utils";
-import { RETENTION_MS, type Departure } from "../departures/departure.js";
+import { formatSubject, RETENTION_MS, type Departure } from "../departures/departure.js";
 import { createDepartureLog, type DepartureLog } from "../departures/departureLog.js";
 import type { DepartureMessage } from "../departures/departureMessages.js";
 import { createDepartureReplicas } from "../departures/departureReplicas.js";
@@ -76,20 +76,20 @@
 };
 
 describe("createDepartureLog", () => {
-    const lifetime = { instanceId: "i-1", bornAt: 5 };
+    const left = { kind: "Left", lifetime: { instanceId: "i-1", bornAt: 5 } } as const;
 
     /** Returns the ids that a restarted node finds. */
     const restart = async ({ clock, start }: TestFleet, id: TestNodeId): Promise<readonly string[]> => {
         const found: Departure[] = [];
         await runFor(clock, LONG_MS, start(id).restore((departures) => found.push(...departures)));
-        return [...new Set(found.map(({ instanceId }) => instanceId))];
+        return [...new Set(found.map(formatSubject))];
     };
 
     it("finds a departure in the table after a restart of all nodes", async () => {
         const fleet = createTestFleet();
-        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime))).to.equal(true);
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left))).to.equal(true);
         NODE_IDS.forEach(fleet.start);
-        expect(await restart(fleet, "a")).to.deep.equal(["i-1"]);
+        expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
         expect(await restart(fleet, "b")).to.deep.equal([]);
     });
 
@@ -97,24 +97,24 @@
         const fleet = createTestFleet();
         fleet.isTableDown = true;
         fleet.lostDatagrams = 3;
-        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime))).to.equal(true);
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left))).to.equal(true);
         fleet.lostDatagrams = 3;
-        expect(await restart(fleet, "a")).to.deep.equal(["i-1"]);
+        expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
     });
 
     it("writes a departure to the table once it responds again", async () => {
         const fleet = createTestFleet();
         fleet.isTableDown = true;
-        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime))).to.equal(true);
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left))).to.equal(true);
         fleet.isTableDown = false;
         await fleet.clock.advance(LONG_MS);
         NODE_IDS.forEach(fleet.start);
-        expect(await restart(fleet, "a")).to.deep.equal(["i-1"]);
+        expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
     });
 
     it("passes on a departure that the table holds when the table responds again", async () => {
         const fleet = createTestFleet();
-        await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime));
+        await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left));
         NODE_IDS.forEach(fleet.start);
         fleet.isTableDown = true;
         const found: Departure[] = [];
@@ -130,9 +130,9 @@
         const log = fleet.start("a");
         fleet.isTableDown = true;
         fleet.unreachable.add("a");
-        expect(await runFor(fleet.clock, LONG_MS, log.record(lifetime))).to.equal(false);
+        expect(await runFor(fleet.clock, LONG_MS, log.record(left))).to.equal(false);
         fleet.isTableDown = false;
-        expect(await runFor(fleet.clock, LONG_MS, log.record(lifetime))).to.equal(true);
+        expect(await runFor(fleet.clock, LONG_MS, log.record(left))).to.equal(true);
     });
 
     it("resolves although no storage responds", async () => {
@@ -145,13 +145,32 @@
     it("stores a departure once, and none without an instance id", async () => {
         const fleet = createTestFleet();
         const log = fleet.start("a");
-        await runFor(fleet.clock, LONG_MS, Promise.all([log.record(lifetime), log.record(lifetime), log.record({})]));
+        await runFor(fleet.clock, LONG_MS, Promise.all([log.record(left), log.record(left), log.record({ kind: "Left", lifetime: {} })]));
         expect(fleet.tableService.state.scan({ prefix: "departures/", limit: 10 })).to.have.length(1);
     });
 
+    it("finds the order of an operator until it has ended, also from storages that differ", async () => {
+        const fleet = createTestFleet();
+        const log = fleet.start("a");
+        const target = { partner: "halloway", service: "wills-desk", port: 17_090 };
+        await runFor(fleet.clock, LONG_MS, log.record({ kind: "Drained", target }));
+        await fleet.clock.advance(RETENTION_MS);
+        const found: Departure[] = [];
+        await runFor(fleet.clock, LONG_MS, fleet.start("a").restore((departures) => found.push(...departures)));
+        expect(found.map(({ kind }) => kind)).to.deep.equal(["Drained"]);
+
+        fleet.isTableDown = true;
+        await runFor(fleet.clock, LONG_MS, log.record({ kind: "DrainEnded" }));
+        const later: Departure[] = [];
+        const restarted = fleet.start("a");
+        fleet.isTableDown = false;
+        await runFor(fleet.clock, LONG_MS, restarted.restore((departures) => later.push(...departures)));
+        expect(later.at(-1)?.kind).to.equal("DrainEnded");
+    });
+
     it("deletes departures that are too old to matter", async () => {
         const fleet = createTestFleet();
-        await runFor(fleet.clock, LONG_MS, fleet.start("a").record(lifetime));
+        await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left));
         NODE_IDS.forEach(fleet.start);
         await fleet.clock.advance(RETENTION_MS);
         expect(await restart(fleet, "a")).to.deep.equal([]);
--- a/packages/oleandergap-node/src/__tests__/localTargetManager.test.ts
+++ b/packages/oleandergap-node/src/__tests__/localTargetManager.test.ts
@@ -147,8 +147,8 @@
         const { clock, targetManager } = setUp();
         targetManager.announce(createAnnouncement(TARGET_PORT));
 
-        expect(targetManager.drain({ partner: "kushiro", service: "grant-filer" })).to.equal(false);
-        expect(targetManager.drain({ partner: "halloway", service: "grant-filer" })).to.equal(true);
+        expect(await targetManager.drain({ partner: "kushiro", service: "grant-filer" })).to.equal(false);
+        expect(await targetManager.drain({ partner: "halloway", service: "grant-filer" })).to.equal(true);
         targetManager.announce(createAnnouncement(TARGET_PORT));
 
         expect(targetManager.current()?.leaving).to.equal(true);
@@ -171,7 +171,7 @@
     it("treats a new process on another port as a new target", async () => {
         const { clock, targetManager, published } = setUp();
         targetManager.announce(createAnnouncement(TARGET_PORT));
-        targetManager.drain({ partner: "halloway", service: "grant-filer" });
+        await targetManager.drain({ partner: "halloway", service: "grant-filer" });
 
         targetManager.announce(createAnnouncement(TARGET_PORT + 1));
 
@@ -277,8 +277,8 @@
     const setUpStored = (): Setup & { readonly recorded: (string | undefined)[] } => {
         const recorded: (string | undefined)[] = [];
         const setup = setUp({
-            record: ({ instanceId }) => {
-                recorded.push(instanceId);
+            record: (departure) => {
+                recorded.push(departure.kind === "Left" ? departure.lifetime.instanceId : departure.kind);
                 return Promise.resolve(false);
             },
         });
@@ -297,13 +297,13 @@
         const { targetManager } = setUpStored();
         targetManager.acceptTargets();
         targetManager.announce(announcement);
-        targetManager.restoreDepartures([{ instanceId: "i-1", bornAt: 5 }]);
+        targetManager.restoreDepartures([{ kind: "Left", instanceId: "i-1", bornAt: 5, recordedAt: 1 }]);
         expect(targetManager.current()?.leaving).to.equal(true);
     });
 
     it("replaces no target by an earlier one that has left", () => {
         const { targetManager } = setUpStored();
-        targetManager.restoreDepartures([{ instanceId: "i-1", bornAt: 5 }]);
+        targetManager.restoreDepartures([{ kind: "Left", instanceId: "i-1", bornAt: 5, recordedAt: 1 }]);
         targetManager.acceptTargets();
         targetManager.announce({ ...announcement, instanceId: "i-2" });
         targetManager.announce(announcement);
@@ -331,4 +331,21 @@
         targetManager.announce({ ...announcement, bornAt: 6, sequence: 1 });
         expect(targetManager.current()?.leaving).to.equal(false);
     });
+
+    it("keeps a target drained by an operator after a restart, until it is withdrawn", async () => {
+        const { partner, service, port, instanceId, bornAt } = announcement;
+        const { targetManager, recorded } = setUpStored();
+        const target = { partner, service, port, instanceId, bornAt };
+        targetManager.restoreDepartures([{ kind: "Drained", target, recordedAt: 1 }]);
+        targetManager.acceptTargets();
+        targetManager.announce(announcement);
+        expect(targetManager.current()?.leaving).to.equal(true);
+
+        targetManager.withdraw();
+        expect(recorded.at(-1)).to.equal("DrainEnded");
+        targetManager.announce({ ...announcement, sequence: 8 });
+        expect(targetManager.current()?.leaving).to.equal(false);
+        expect(await targetManager.drain(announcement)).to.equal(true);
+        expect(recorded.at(-1)).to.equal("Drained");
+    });
 });
--- a/packages/oleandergap-node/src/__tests__/peerAccess.test.ts
+++ b/packages/oleandergap-node/src/__tests__/peerAccess.test.ts
@@ -70,7 +70,7 @@
                 handle: createFleetHandler({
                     nodeId: "hall-a-1",
                     reportZone: () => Promise.resolve({ nodes: [] }),
-                    drainTarget: (query) => drained.push(query.service.service) > 0,
+                    drainTarget: (query) => Promise.resolve(drained.push(query.service.service) > 0),
                     signal: neverAborted,
                 }, logger),
             },
--- a/packages/oleandergap-node/src/control/fleetReport.ts
+++ b/packages/oleandergap-node/src/control/fleetReport.ts
@@ -20,8 +20,8 @@
     readonly localHeads: () => readonly Head[];
     readonly peers: Pick<PeerPort, "heads">;
     readonly client: FleetClient;
-    /** Starts to drain the local target. Returns false if it is not a target of the service. */
-    readonly drainLocalTarget: (query: Parameters<FleetPort["drain"]>[0]["service"]) => boolean;
+    /** Starts to drain the local target. Resolves with false if it is not a target of the service. */
+    readonly drainLocalTarget: (query: Parameters<FleetPort["drain"]>[0]["service"]) => Promise<boolean>;
 }
 
 const mapInParallel = async <Item, Result>(
@@ -102,7 +102,7 @@
 
     const drain: FleetPort["drain"] = ({ nodeId, service }, signal) => async () => {
         if (nodeId === membership.self().id) {
-            return dependencies.drainLocalTarget(service) ?
+            return await dependencies.drainLocalTarget(service) ?
                 either.right(undefined) :
                 either.left({ kind: "NoSuchTarget" });
         }
--- a/packages/oleandergap-node/src/control/fleetRouter.ts
+++ b/packages/oleandergap-node/src/control/fleetRouter.ts
@@ -30,7 +30,7 @@
 export interface FleetRouterContext {
     readonly nodeId: NodeId;
     readonly reportZone: (query: ReportQuery, signal: AbortSignal) => Promise<ZoneReport>;
-    readonly drainTarget: (query: DrainQuery) => boolean;
+    readonly drainTarget: (query: DrainQuery) => Promise<boolean>;
     readonly signal: AbortSignal;
 }
 
@@ -46,9 +46,9 @@
 export const fleetRouter = builder.router({
     report: builder.procedure.input(reportQuerySchema).query(({ ctx, input }): Promise<ZoneReport> =>
         ctx.reportZone(input, ctx.signal)),
-    drain: builder.procedure.input(drainQuerySchema).mutation(({ ctx, input }): DrainAnswer => ({
+    drain: builder.procedure.input(drainQuerySchema).mutation(async ({ ctx, input }): Promise<DrainAnswer> => ({
         nodeId: ctx.nodeId,
-        drained: ctx.drainTarget(input),
+        drained: await ctx.drainTarget(input),
     })),
 });
 
--- a/packages/oleandergap-node/src/departures/departureLog.ts
+++ b/packages/oleandergap-node/src/departures/departureLog.ts
@@ -8,8 +8,7 @@
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds } from "oleandergap-types";
 import { callWithTimeLimit, describeError, raceAbort } from "oleandergap-utils";
-import type { LifetimeReference } from "../target/lifetimes.js";
-import { formatLifetime, type Departure, type DepartureStorage } from "./departure.js";
+import { formatSubject, selectLatest, type Departure, type DepartureStorage, type NewDeparture } from "./departure.js";
 
 /** Time limit of a call to a storage. A target that gets no acknowledgement within a second announces itself again. */
 const CALL_TIMEOUT_MS: Milliseconds = 600;
@@ -28,7 +27,7 @@
 /** The departures of the targets beside a node. */
 export interface DepartureLog {
     /** Stores a departure, once for each lifetime. Resolves with whether it outlasts this process. */
-    readonly record: (lifetime: LifetimeReference) => Promise<boolean>;
+    readonly record: (departure: NewDeparture) => Promise<boolean>;
     /**
      * Reads the departures from before the start of this process. Resolves when a storage has responded, or after a
      * time limit.
@@ -46,11 +45,29 @@
     readonly signal: AbortSignal;
 }
 
+interface DepartureRecord {
+    readonly departure: Departure;
+    /** Resolves with whether the departure outlasts this process. */
+    readonly stored: Promise<boolean>;
+}
+
+/** Returns the departure to record; undefined for a lifetime without an instance id, which cannot be recognized. */
+const createDeparture = (created: NewDeparture, recordedAt: Milliseconds): Departure | undefined => {
+    if (created.kind !== "Left") {
+        return { ...created, recordedAt };
+    }
+    const { instanceId, bornAt } = created.lifetime;
+    return instanceId === undefined ? undefined : { kind: "Left", instanceId, bornAt, recordedAt };
+};
+
 /** Creates the log of departures. */
 export const createDepartureLog = (
     { table, replicas, clock, logger, signal }: DepartureLogDependencies,
 ): DepartureLog => {
-    const records = new Map<string, Promise<boolean>>();
+    const records = new Map<string, DepartureRecord>();
+
+    const isLatest = (departure: Departure): boolean =>
+        records.get(formatSubject(departure))?.departure === departure;
 
     const call = async <Result>(
         { name }: DepartureStorage,
@@ -71,10 +88,10 @@
 
     /** Repeats the write to the table, so that the departure outlasts a restart of all nodes. */
     const repeatWrite = async (departure: Departure): Promise<void> => {
-        for (let writes = 1; writes < MAX_WRITES && !signal.aborted; writes++) {
+        for (let writes = 1; writes < MAX_WRITES && !signal.aborted && isLatest(departure); writes++) {
             await clock.sleep(RETRY_MS, signal);
-            if (await write(table, departure)) {
-                logger.info("The table has a departure now.", { instance: departure.instanceId, writes: writes + 1 });
+            if (isLatest(departure) && await write(table, departure)) {
+                logger.info("The table has a departure now.", { subject: formatSubject(departure), writes: writes + 1 });
                 return;
             }
         }
@@ -84,7 +101,10 @@
         const startedAt = clock.monotonic();
         const [isInTable, isAtNodes] = await Promise.all([write(table, departure), write(replicas, departure)]);
         const context = {
-            instance: departure.instanceId, isInTable, isAtNodes, durationMs: Math.round(clock.monotonic() - startedAt),
+            subject: formatSubject(departure),
+            isInTable,
+            isAtNodes,
+            durationMs: Math.round(clock.monotonic() - startedAt),
         };
         if (isInTable || isAtNodes) {
             logger.info("A departure is stored.", context);
@@ -98,44 +118,50 @@
         return isInTable || isAtNodes;
     };
 
-    const remember = (lifetime: LifetimeReference, stored: Promise<boolean>): void => {
-        records.set(formatLifetime(lifetime), stored);
+    const remember = (departure: Departure, stored: Promise<boolean>): void => {
+        records.delete(formatSubject(departure));
+        records.set(formatSubject(departure), { departure, stored });
         const [oldest] = records.keys();
         if (records.size > MAX_RECORDS && oldest !== undefined) {
             records.delete(oldest);
         }
     };
 
-    const record: DepartureLog["record"] = (lifetime) => {
-        const { instanceId, bornAt } = lifetime;
-        const known = records.get(formatLifetime(lifetime));
-        if (instanceId === undefined || known !== undefined) {
-            return known ?? Promise.resolve(true);
+    const record: DepartureLog["record"] = (created) => {
+        const departure = createDeparture(created, Math.floor(clock.now()));
+        if (departure === undefined) {
+            return Promise.resolve(true);
+        }
+        const known = records.get(formatSubject(departure));
+        if (known !== undefined && departure.kind === "Left") {
+            return known.stored;
         }
-        const departure: Departure = {
-            instanceId, ...bornAt === undefined ? {} : { bornAt }, departedAt: Math.floor(clock.now()),
-        };
         const stored = store(departure).then((isStored) => {
-            if (!isStored) {
-                records.delete(formatLifetime(lifetime));
+            if (!isStored && isLatest(departure)) {
+                records.delete(formatSubject(departure));
             }
             return isStored;
         });
-        remember(lifetime, stored);
+        remember(departure, stored);
         return stored;
     };
 
     /** Returns whether the storage has responded. */
     const read = async (storage: DepartureStorage, onFound: OnFound): Promise<boolean> => {
         const departures = await call(storage, storage.read);
-        if (departures === undefined || departures.length === 0) {
-            return departures !== undefined;
+        if (departures === undefined) {
+            return false;
+        }
+        const known = [...records.values()].map(({ departure }) => departure);
+        const found = selectLatest([...known, ...departures]).filter((departure) => !isLatest(departure));
+        if (found.length === 0) {
+            return true;
         }
-        departures.forEach((departure) => remember(departure, Promise.resolve(true)));
+        found.forEach((departure) => remember(departure, Promise.resolve(true)));
         logger.info("Departures from before the start were found.", {
-            at: storage.name, instances: departures.map(({ instanceId }) => instanceId).join(" "),
+            at: storage.name, subjects: found.map(formatSubject).join(", "),
         });
-        onFound(departures);
+        onFound(found);
         return true;
     };
 
--- a/packages/oleandergap-node/src/departures/departureTable.ts
+++ b/packages/oleandergap-node/src/departures/departureTable.ts
@@ -2,7 +2,7 @@
 import { createHash } from "node:crypto";
 import * as either from "fp-ts/lib/Either.js";
 import type { Clock, NodeId, TableOperation, TableRow, TableService } from "oleandergap-types";
-import { departureSchema, formatLifetime, RETENTION_MS, type Departure, type DepartureStorage } from "./departure.js";
+import { departureSchema, formatSubject, RETENTION_MS, type Departure, type DepartureStorage } from "./departure.js";
 
 /** Maximum number of rows that are read. A VM has a few departures an hour. */
 const MAX_ROWS = 64;
@@ -18,17 +18,18 @@
 const formatPrefix = (nodeId: NodeId): string => `departures/${nodeId}/`;
 
 const formatKey = (nodeId: NodeId, departure: Departure): string =>
-    formatPrefix(nodeId) + createHash("sha256").update(formatLifetime(departure)).digest("hex").slice(0, HASH_DIGITS);
+    formatPrefix(nodeId) + createHash("sha256").update(formatSubject(departure)).digest("hex").slice(0, HASH_DIGITS);
 
 const parseRow = ({ value }: TableRow): readonly Departure[] => {
     const parsed = departureSchema.safeParse(value);
     return parsed.success ? [parsed.data] : [];
 };
 
-/** Creates the storage. Each departure has a row of its own, so that no write can undo another one. */
+/** Creates the storage. Each lifetime that has left has a row of its own, so that no write can undo another one. */
 export const createDepartureTable = ({ tableService, nodeId, clock }: DepartureTableDependencies): DepartureStorage => {
     const isExpired = (row: TableRow): boolean =>
-        parseRow(row).some(({ departedAt }) => clock.now() - departedAt > RETENTION_MS);
+        parseRow(row).some(({ kind, recordedAt }) =>
+            kind !== "Drained" && clock.now() - recordedAt > RETENTION_MS);
 
     /** Deletes expired rows. A failed deletion is repeated after the next start. */
     const deleteExpired = async (rows: readonly TableRow[], signal: AbortSignal): Promise<void> => {
@@ -43,7 +44,10 @@
         name: "table",
         write: async (departure, signal) => {
             const result = await tableService.transact([{
-                kind: "Put", key: formatKey(nodeId, departure), condition: { kind: "Absent" }, value: departure,
+                kind: "Put",
+                key: formatKey(nodeId, departure),
+                condition: { kind: departure.kind === "Left" ? "Absent" : "Any" },
+                value: departure,
             }], signal)();
             // If the condition fails, an earlier write of the same departure has taken effect.
             return either.isRight(result);
--- a/packages/oleandergap-node/src/departures/heldDepartures.ts
+++ b/packages/oleandergap-node/src/departures/heldDepartures.ts
@@ -1,6 +1,6 @@
 /** The departures that this node holds for other nodes. */
 import type { NodeId } from "oleandergap-types";
-import { formatLifetime, type Departure } from "./departure.js";
+import { formatSubject, selectLatest, type Departure } from "./departure.js";
 import { MAX_HELD } from "./departureMessages.js";
 
 /** Maximum number of nodes whose departures are held. The one with the earliest latest departure is dropped first. */
@@ -25,10 +25,11 @@
 
     return {
         hold: (nodeId, departure) => {
-            const others = (departuresByNode.get(nodeId) ?? [])
-                .filter((held) => formatLifetime(held) !== formatLifetime(departure));
+            const held = departuresByNode.get(nodeId) ?? [];
+            const isSameSubject = (other: Departure): boolean => formatSubject(other) === formatSubject(departure);
+            const [latest = departure] = selectLatest([...held.filter(isSameSubject), departure]);
             departuresByNode.delete(nodeId);
-            departuresByNode.set(nodeId, [...others, departure].slice(-MAX_HELD));
+            departuresByNode.set(nodeId, [...held.filter((other) => !isSameSubject(other)), latest].slice(-MAX_HELD));
             dropOldestNode();
         },
         find: (nodeId) => departuresByNode.get(nodeId) ?? [],
--- a/packages/oleandergap-node/src/target/localTargetManager.ts
+++ b/packages/oleandergap-node/src/target/localTargetManager.ts
@@ -8,7 +8,9 @@
 import type { Gate } from "oleandergap-gate";
 import type { Announcement, Milliseconds, ServiceReference } from "oleandergap-types";
 import { createHeartbeatTimer } from "./heartbeatTimer.js";
+import type { Departure } from "../departures/departure.js";
 import type { DepartureLog } from "../departures/departureLog.js";
+import { createKnownDepartures } from "./knownDepartures.js";
 import { createLifetimes, type LifetimeReference } from "./lifetimes.js";
 import {
     closeGate,
@@ -35,7 +37,7 @@
      */
     readonly confirm: (lifetime: LifetimeReference) => Promise<boolean>;
     /** Applies departures that were announced before this process started. */
-    readonly restoreDepartures: (lifetimes: readonly LifetimeReference[]) => void;
+    readonly restoreDepartures: (departures: readonly Departure[]) => void;
     /** Accepts targets from now on. Until then only departures are handled, because earlier ones are not known yet. */
     readonly acceptTargets: () => void;
     /**
@@ -50,8 +52,11 @@
     readonly current: () => LocalTarget | undefined;
     /** Applies the current limit from the table to the gate. */
     readonly refreshLimit: () => void;
-    /** Starts to drain the target on behalf of an operator. Returns false if it is not a target of `service`. */
-    readonly drain: (service: ServiceReference) => boolean;
+    /**
+     * Starts to drain the target on behalf of an operator, until the target is gone. Resolves with false if it is not a
+     * target of `service`, else once the order is stored, as far as it can be.
+     */
+    readonly drain: (service: ServiceReference) => Promise<boolean>;
     /**
      * Stops admitting requests, refuses requests that still wait after `leavingQueueMs`, and resolves when the requests
      * in flight have finished.
@@ -88,22 +93,13 @@
     const lifetimes = createLifetimes();
     const heartbeatTimer = createHeartbeatTimer(clock, dependencies.heartbeatTimeoutMs, () => removeTarget());
 
-    const confirm: LocalTargetManager["confirm"] = async (reference) => {
-        const departed = lifetimes.findLeaving(reference);
-        return departed === undefined || (await departures?.record(departed) ?? true);
-    };
-
-    /** Marks a lifetime as leaving and starts to store its departure, which `confirm` awaits. */
-    const recordDeparture = (reference: LifetimeReference): void => {
-        lifetimes.markLeaving(reference);
-        void confirm(reference);
-    };
-
-    const holder = createTargetHolder({ ...dependencies, onDeparture: recordDeparture });
+    const known = createKnownDepartures(lifetimes, departures);
+    const holder = createTargetHolder({ ...dependencies, onDeparture: known.record });
 
     const removeTarget = (): void => {
         heartbeatTimer.cancel();
         holder.remove();
+        known.drainOrder.end();
     };
 
     const withdraw: LocalTargetManager["withdraw"] = (instanceId, bornAt) => {
@@ -111,7 +107,7 @@
             logger.info("Ignored the withdrawal of a former target lifetime.", { instance: instanceId, bornAt });
             return;
         }
-        recordDeparture({ instanceId, bornAt });
+        known.record({ instanceId, bornAt });
         if (instanceId === undefined || holder.current()?.announcement.instanceId === instanceId) {
             removeTarget();
             holder.forgetRemoved();
@@ -134,17 +130,18 @@
             holder.update(announcement);
         }
         else {
+            known.drainOrder.endUnlessFor(announcement);
             holder.install(announcement);
         }
         // A target whose heartbeats were missing for some time comes back with the same lifetime.
-        if (announcement.leaving || lifetimes.isLeaving(announcement)) {
+        if (known.includes(announcement)) {
             holder.startLeaving();
         }
     };
 
     const announce = (announcement: Announcement): void => {
         if (announcement.leaving && isDistinguishable(announcement)) {
-            recordDeparture(announcement);
+            known.record(announcement);
         }
         if (isStopping) {
             return;
@@ -165,20 +162,21 @@
         }
     };
 
-    const restoreDepartures: LocalTargetManager["restoreDepartures"] = (departed) => {
-        departed.forEach(lifetimes.markLeaving);
-        const current = holder.current();
-        if (current !== undefined && lifetimes.isLeaving(current.announcement)) {
+    const restoreDepartures: LocalTargetManager["restoreDepartures"] = (found) => {
+        known.restore(found);
+        const current = holder.current()?.announcement;
+        if (current !== undefined && known.includes(current)) {
             holder.startLeaving();
         }
     };
 
-    const drain = (service: ServiceReference): boolean => {
+    const drain: LocalTargetManager["drain"] = async (service) => {
         const current = holder.current();
         if (current === undefined || !isTargetOfService(current, service)) {
             return false;
         }
         holder.startLeaving();
+        await known.drainOrder.give(current.announcement);
         return true;
     };
 
@@ -191,7 +189,7 @@
 
     return {
         announce,
-        confirm,
+        confirm: known.confirm,
         restoreDepartures,
         acceptTargets,
         withdraw,
