--- a/packages/oleandergap-node/src/__tests__/departureLog.test.ts
+++ b/packages/oleandergap-node/src/__tests__/departureLog.test.ts
@@ -59,7 +59,9 @@
                 onMessage: (listener) => listeners.set(nodeId, listener),
             },
         }),
+        readDelay: () => 0,
         clock,
+        random: () => 0.5,
         logger: createLogger("test"),
         signal: new AbortController().signal,
     });
@@ -69,9 +71,14 @@
     return fleet;
 };
 
+/** Small steps let the table, which responds in real time, respond before a time limit has passed. */
+const STEP_MS: Milliseconds = 50;
+
 /** Resolves with the result of `work` while the clock advances. */
 const runFor = async <Result>(clock: ManualClock, duration: Milliseconds, work: Promise<Result>): Promise<Result> => {
-    await clock.advance(duration);
+    for (let elapsed = 0; elapsed < duration; elapsed += STEP_MS) {
+        await clock.advance(STEP_MS);
+    }
     return work;
 };
 
@@ -107,7 +114,7 @@
         fleet.isTableDown = true;
         expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left))).to.equal(true);
         fleet.isTableDown = false;
-        await fleet.clock.advance(LONG_MS);
+        await runFor(fleet.clock, LONG_MS, Promise.resolve());
         NODE_IDS.forEach(fleet.start);
         expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
     });
@@ -121,7 +128,7 @@
         await runFor(fleet.clock, LONG_MS, fleet.start("a").restore((departures) => found.push(...departures)));
         expect(found).to.have.length(0);
         fleet.isTableDown = false;
-        await fleet.clock.advance(LONG_MS);
+        await runFor(fleet.clock, LONG_MS, Promise.resolve());
         expect(found).to.have.length(1);
     });
 
--- a/packages/oleandergap-node/src/departures/departureLog.ts
+++ b/packages/oleandergap-node/src/departures/departureLog.ts
@@ -7,17 +7,19 @@
  */
 import type { Logger } from "oleandergap-logger";
 import type { Clock, Milliseconds } from "oleandergap-types";
-import { callWithTimeLimit, describeError, raceAbort } from "oleandergap-utils";
+import { callWithTimeLimit, describeError, raceAbort, type Random } from "oleandergap-utils";
 import { formatSubject, selectLatest, type Departure, type DepartureStorage, type NewDeparture } from "./departure.js";
 
 /** Time limit of a call to a storage. A target that gets no acknowledgement within a second announces itself again. */
 const CALL_TIMEOUT_MS: Milliseconds = 600;
-/** Interval between two attempts to reach a storage. */
+/** Mean interval between two attempts to reach a storage. Half of it is random. */
 const RETRY_MS: Milliseconds = 1000;
 /** Maximum number of attempts to write a departure to the table. Other nodes hold it for longer. */
 const MAX_WRITES = 300;
 /** Time after which targets are accepted even if no storage has responded. */
 const MAX_RESTORE_MS: Milliseconds = 3000;
+/** Maximum delay of the first read of the table, within `MAX_RESTORE_MS`. */
+const MAX_READ_DELAY_MS: Milliseconds = 1500;
 /** Maximum number of departures whose storage is remembered. The oldest one is dropped first. */
 const MAX_RECORDS = 64;
 
@@ -40,7 +42,13 @@
     readonly table: DepartureStorage;
     /** Responds also without the platform. */
     readonly replicas: DepartureStorage;
+    /**
+     * Returns the delay of the first read of the table. It is random, so that the reads of a fleet that starts together
+     * stay within the platform's limit.
+     */
+    readonly readDelay: () => Milliseconds;
     readonly clock: Clock;
+    readonly random: Random;
     readonly logger: Logger;
     readonly signal: AbortSignal;
 }
@@ -62,10 +70,12 @@
 
 /** Creates the log of departures. */
 export const createDepartureLog = (
-    { table, replicas, clock, logger, signal }: DepartureLogDependencies,
+    { table, replicas, readDelay, clock, random, logger, signal }: DepartureLogDependencies,
 ): DepartureLog => {
     const records = new Map<string, DepartureRecord>();
 
+    const waitForRetry = (): Promise<void> => clock.sleep(RETRY_MS * (0.75 + random() / 2), signal);
+
     const isLatest = (departure: Departure): boolean =>
         records.get(formatSubject(departure))?.departure === departure;
 
@@ -89,7 +99,7 @@
     /** Repeats the write to the table, so that the departure outlasts a restart of all nodes. */
     const repeatWrite = async (departure: Departure): Promise<void> => {
         for (let writes = 1; writes < MAX_WRITES && !signal.aborted && isLatest(departure); writes++) {
-            await clock.sleep(RETRY_MS, signal);
+            await waitForRetry();
             if (isLatest(departure) && await write(table, departure)) {
                 logger.info("The table has a departure now.", { subject: formatSubject(departure), writes: writes + 1 });
                 return;
@@ -167,22 +177,26 @@
 
     const repeatRead = async (onFound: OnFound): Promise<void> => {
         do {
-            await clock.sleep(RETRY_MS, signal);
+            await waitForRetry();
         } while (!signal.aborted && !await read(table, onFound));
     };
 
     const restore: DepartureLog["restore"] = async (onFound) => {
         const startedAt = clock.monotonic();
+        const firstReplicasRead = read(replicas, onFound);
+        await clock.sleep(Math.min(MAX_READ_DELAY_MS, readDelay()), signal);
+        let areReplicasRead = false;
         while (!signal.aborted) {
-            const [isTableRead, areReplicasRead] = await Promise.all([read(table, onFound), read(replicas, onFound)]);
-            if (!isTableRead && (areReplicasRead || clock.monotonic() - startedAt >= MAX_RESTORE_MS)) {
-                void repeatRead(onFound);
+            const isTableRead = await read(table, onFound);
+            areReplicasRead ||= await firstReplicasRead || await read(replicas, onFound);
+            if (isTableRead) {
                 return;
             }
-            if (isTableRead) {
+            if (areReplicasRead || clock.monotonic() - startedAt >= MAX_RESTORE_MS) {
+                void repeatRead(onFound);
                 return;
             }
-            await clock.sleep(RETRY_MS, signal);
+            await waitForRetry();
         }
     };
 
