Departures: old rows are deleted also at a node that is never restarted

Cause: by reading: rows of departures were deleted at a start only, so that a node that runs for months beside many releases would leave a row for each in the table. Change: a write looks for expired rows if none were looked for within the retention; up to 500 rows are read. Result: departureLog.test.ts 10 of 10, three times; the new case leaves one row of two.

--- a/packages/oleandergap-node/src/__tests__/departureLog.test.ts
+++ b/packages/oleandergap-node/src/__tests__/departureLog.test.ts
@@ -175,6 +175,16 @@
         expect(later.at(-1)?.kind).to.equal("DrainEnded");
     });
 
+    it("deletes old departures also at a node that is never restarted", async () => {
+        const fleet = createTestFleet();
+        const log = fleet.start("a");
+        for (const instanceId of ["i-1", "i-2"]) {
+            await runFor(fleet.clock, LONG_MS, log.record({ kind: "Left", lifetime: { instanceId } }));
+            await fleet.clock.advance(RETENTION_MS);
+        }
+        expect(fleet.tableService.state.scan({ prefix: "departures/", limit: 10 })).to.have.length(1);
+    });
+
     it("deletes departures that are too old to matter", async () => {
         const fleet = createTestFleet();
         await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left));
--- a/packages/oleandergap-node/src/departures/departureTable.ts
+++ b/packages/oleandergap-node/src/departures/departureTable.ts
@@ -5,7 +5,7 @@
 import { departureSchema, formatSubject, RETENTION_MS, type Departure, type DepartureStorage } from "./departure.js";
 
 /** Maximum number of rows that are read. A VM has a few departures an hour. */
-const MAX_ROWS = 64;
+const MAX_ROWS = 500;
 /** Number of hexadecimal digits of a hash in a key. Ids of targets may be longer than a key of the table. */
 const HASH_DIGITS = 32;
 
@@ -27,6 +27,9 @@
 
 /** Creates the storage. Each lifetime that has left has a row of its own, so that no write can undo another one. */
 export const createDepartureTable = ({ tableService, nodeId, clock }: DepartureTableDependencies): DepartureStorage => {
+    /** Unix time of the last search for expired rows. */
+    let checkedAt = clock.now();
+
     const isExpired = (row: TableRow): boolean =>
         parseRow(row).some(({ kind, recordedAt }) =>
             kind !== "Drained" && clock.now() - recordedAt > RETENTION_MS);
@@ -40,6 +43,23 @@
         }
     };
 
+    const read: DepartureStorage["read"] = async (signal) => {
+        checkedAt = clock.now();
+        const rows = await tableService.scan({ prefix: formatPrefix(nodeId), limit: MAX_ROWS }, signal)();
+        if (either.isLeft(rows)) {
+            return undefined;
+        }
+        await deleteExpired(rows.right, signal);
+        return rows.right.filter((row) => !isExpired(row)).flatMap(parseRow);
+    };
+
+    /** Deletes expired rows once in a retention time, at a node that runs for long beside many departures. */
+    const deleteExpiredIfDue = async (signal: AbortSignal): Promise<void> => {
+        if (clock.now() - checkedAt > RETENTION_MS) {
+            await read(signal);
+        }
+    };
+
     return {
         name: "table",
         write: async (departure, signal) => {
@@ -49,16 +69,10 @@
                 condition: { kind: departure.kind === "Left" ? "Absent" : "Any" },
                 value: departure,
             }], signal)();
+            await deleteExpiredIfDue(signal);
             // If the condition fails, an earlier write of the same departure has taken effect.
             return either.isRight(result);
         },
-        read: async (signal) => {
-            const rows = await tableService.scan({ prefix: formatPrefix(nodeId), limit: MAX_ROWS }, signal)();
-            if (either.isLeft(rows)) {
-                return undefined;
-            }
-            await deleteExpired(rows.right, signal);
-            return rows.right.filter((row) => !isExpired(row)).flatMap(parseRow);
-        },
+        read,
     };
 };
