Test: a target of truncatedHeads sends heartbeats, so that a slow machine does not remove it

Cause: the test announces its target once, on the system clock, and the gate removes a target after 3 s without a heartbeat. Where its 150 requests take longer, the gate answers 421 instead of 502. Change: the target is announced again before each byte. What is asserted is the same.

--- a/packages/oleandergap-node/src/__tests__/truncatedHeads.test.ts
+++ b/packages/oleandergap-node/src/__tests__/truncatedHeads.test.ts
@@ -46,8 +46,9 @@
             const { claims, events } = createRecordedClaims();
             const target = await startTruncatingTarget(() => sentBytes, close);
             const gate = await startGate(cleanup.add, { clock, claims });
-            gate.targetManager.announce(createAnnouncement(target));
             for (sentBytes = 1; sentBytes < HEAD.length; sentBytes++) {
+                // The gate removes a target whose heartbeats are missing, however slow this machine is.
+                gate.targetManager.announce(createAnnouncement(target));
                 for (const method of ["GET", "POST"]) {
                     const headers = createGateHeaders(method === "POST" ? { "idempotency-key": `key-${sentBytes}` } : {});
                     const { statusCode } = await sendHttpRequest({ port: gate.port, method, headers });
