Departures: a restarted node writes to the table what only other nodes hold

Callers saw: nothing yet; found on reading the change again. Cause: a departure that was acknowledged while the table did not respond is written to the table later by the process that acknowledged it. If that process ends first, its successor found the departure at other nodes, counted it as stored, and never wrote it; a restart of all nodes later forgot it although the table had been back. Change: after the table was read, what the node knows and the table lacks is written to it. The other nodes are read first.

--- a/packages/oleandergap-node/src/__tests__/departureLog.test.ts
+++ b/packages/oleandergap-node/src/__tests__/departureLog.test.ts
@@ -26,6 +26,8 @@
     lostDatagrams: number;
     /** Starts a node, or starts it again without its memory. */
     readonly start: (id: TestNodeId) => DepartureLog;
+    /** Ends the latest process of a node. */
+    readonly kill: (id: TestNodeId) => void;
 }
 
 const toContact = (id: TestNodeId): Contact => ({ id, zone: "hall-a", address: id, controlPort: 1 });
@@ -34,6 +36,7 @@
     const clock = createManualClock();
     const listeners = new Map<string, ReceiveMessage<DepartureMessage>>();
     const unreachable = new Set<TestNodeId>();
+    const processes = new Map<TestNodeId, AbortController>();
     const tableService = createMemoryTableService({
         decideFault: () => fleet.isTableDown ? { kind: "Outage" } : noFault,
     });
@@ -48,6 +51,12 @@
         }
     };
 
+    const openProcess = (nodeId: TestNodeId): AbortSignal => {
+        const process = new AbortController();
+        processes.set(nodeId, process);
+        return process.signal;
+    };
+
     const start = (nodeId: TestNodeId): DepartureLog => createDepartureLog({
         table: createDepartureTable({ tableService, nodeId, clock }),
         replicas: createDepartureReplicas({
@@ -63,10 +72,11 @@
         clock,
         random: () => 0.5,
         logger: createLogger("test"),
-        signal: new AbortController().signal,
+        signal: openProcess(nodeId),
     });
+    const kill = (nodeId: TestNodeId): void => processes.get(nodeId)?.abort();
 
-    const fleet: TestFleet = { clock, tableService, isTableDown: false, unreachable, lostDatagrams: 0, start };
+    const fleet: TestFleet = { clock, tableService, isTableDown: false, unreachable, lostDatagrams: 0, start, kill };
     NODE_IDS.forEach(start);
     return fleet;
 };
@@ -119,6 +129,18 @@
         expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
     });
 
+    it("writes a departure that a restarted node found at other nodes to the table once it responds again", async () => {
+        const fleet = createTestFleet();
+        fleet.isTableDown = true;
+        expect(await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left))).to.equal(true);
+        fleet.kill("a");
+        expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
+        fleet.isTableDown = false;
+        await runFor(fleet.clock, LONG_MS, Promise.resolve());
+        NODE_IDS.forEach(fleet.start);
+        expect(await restart(fleet, "a")).to.deep.equal(["left i-1 5"]);
+    });
+
     it("passes on a departure that the table holds when the table responds again", async () => {
         const fleet = createTestFleet();
         await runFor(fleet.clock, LONG_MS, fleet.start("a").record(left));
--- a/packages/oleandergap-node/src/departures/departureLog.ts
+++ b/packages/oleandergap-node/src/departures/departureLog.ts
@@ -156,12 +156,26 @@
         return stored;
     };
 
+    /** Writes what only other nodes hold, because an earlier process ended before the table responded. */
+    const writeMissing = (departuresInTable: readonly Departure[]): void => {
+        for (const { departure, stored } of [...records.values()]) {
+            const isInTable = departuresInTable.some((other) =>
+                formatSubject(other) === formatSubject(departure) && other.recordedAt >= departure.recordedAt);
+            if (!isInTable) {
+                void stored.then((isStored) => isStored ? repeatWrite(departure) : undefined);
+            }
+        }
+    };
+
     /** Returns whether the storage has responded. */
     const read = async (storage: DepartureStorage, onFound: OnFound): Promise<boolean> => {
         const departures = await call(storage, storage.read);
         if (departures === undefined) {
             return false;
         }
+        if (storage === table) {
+            writeMissing(departures);
+        }
         const known = [...records.values()].map(({ departure }) => departure);
         const found = selectLatest([...known, ...departures]).filter((departure) => !isLatest(departure));
         if (found.length === 0) {
@@ -187,9 +201,8 @@
         await clock.sleep(Math.min(MAX_READ_DELAY_MS, readDelay()), signal);
         let areReplicasRead = false;
         while (!signal.aborted) {
-            const isTableRead = await read(table, onFound);
             areReplicasRead ||= await firstReplicasRead || await read(replicas, onFound);
-            if (isTableRead) {
+            if (await read(table, onFound)) {
                 return;
             }
             if (areReplicasRead || clock.monotonic() - startedAt >= MAX_RESTORE_MS) {
