--- a/packages/oleandergap-node/src/departures/departureLog.ts
+++ b/packages/oleandergap-node/src/departures/departureLog.ts
@@ -68,10 +68,27 @@
     return instanceId === undefined ? undefined : { kind: "Left", instanceId, bornAt, recordedAt };
 };
 
+/** Calls a storage within the time limit. Resolves with undefined if it did not respond or failed. */
+const callStorage = async <Result>(
+    { clock, logger, signal }: Pick<DepartureLogDependencies, "clock" | "logger" | "signal">,
+    name: string,
+    call: (callSignal: AbortSignal) => Promise<Result>,
+): Promise<Result | undefined> => {
+    try {
+        return await callWithTimeLimit(clock, CALL_TIMEOUT_MS, signal, (callSignal) =>
+            raceAbort<Result | undefined>(call(callSignal), callSignal, () => undefined));
+    }
+    catch (error) {
+        logger.warn("Storing departures failed.", { at: name, detail: describeError(error) });
+        return undefined;
+    }
+};
+
 /** Creates the log of departures. */
 export const createDepartureLog = (
     { table, replicas, readDelay, clock, random, logger, signal }: DepartureLogDependencies,
 ): DepartureLog => {
+    const limits = { clock, logger, signal };
     const records = new Map<string, DepartureRecord>();
 
     const waitForRetry = (): Promise<void> => clock.sleep(RETRY_MS * (0.75 + random() / 2), signal);
@@ -79,22 +96,8 @@
     const isLatest = (departure: Departure): boolean =>
         records.get(formatSubject(departure))?.departure === departure;
 
-    const call = async <Result>(
-        { name }: DepartureStorage,
-        run: (callSignal: AbortSignal) => Promise<Result>,
-    ): Promise<Result | undefined> => {
-        try {
-            return await callWithTimeLimit(clock, CALL_TIMEOUT_MS, signal, (callSignal) =>
-                raceAbort<Result | undefined>(run(callSignal), callSignal, () => undefined));
-        }
-        catch (error) {
-            logger.warn("Storing departures failed.", { at: name, detail: describeError(error) });
-            return undefined;
-        }
-    };
-
     const write = async (storage: DepartureStorage, departure: Departure): Promise<boolean> =>
-        await call(storage, (callSignal) => storage.write(departure, callSignal)) ?? false;
+        await callStorage(limits, storage.name, (callSignal) => storage.write(departure, callSignal)) ?? false;
 
     /** Repeats the write to the table, so that the departure outlasts a restart of all nodes. */
     const repeatWrite = async (departure: Departure): Promise<void> => {
@@ -169,7 +172,7 @@
 
     /** Returns whether the storage has responded. */
     const read = async (storage: DepartureStorage, onFound: OnFound): Promise<boolean> => {
-        const departures = await call(storage, storage.read);
+        const departures = await callStorage(limits, storage.name, storage.read);
         if (departures === undefined) {
             return false;
         }
