Review case 5: an acknowledged goodbye is forgotten after a restore of the store and a kill of all daemons

Cause: the rows of departures are not written again after a restore, and the copies at other nodes end with the kill.

--- a/review/standins-2/worker.mjs
+++ b/review/standins-2/worker.mjs
@@ -183,6 +183,21 @@
     }
 };
 
+/**
+ * Leaves without having reported `draining`: says goodbye, serves on for a time and exits. A check-in that was sent
+ * before the goodbye arrives late.
+ */
+const leave = async ({ serveMs, lateMs }) => {
+    isMute = true;
+    const delayed = createCheckIn();
+    const status = await call("deregister", { born });
+    report({ goodbyeAnswered: status, instance: instanceId });
+    setTimeout(async () => {
+        report({ lateCheckInAnswered: await call("heartbeat", delayed) });
+    }, lateMs);
+    setTimeout(() => process.exit(0), serveMs);
+};
+
 const start = async (given) => {
     options = given;
     instanceId = options.instanceId ?? `i-${randomBytes(4).toString("hex")}`;
@@ -208,6 +223,9 @@
     if (message.spoil !== undefined) {
         spoiled = message.spoil;
     }
+    if (message.leave !== undefined) {
+        void leave(message.leave);
+    }
     if (message.mute !== undefined) {
         isMute = message.mute;
     }
